--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/common/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Types shared by all subjects: identifiers, verdicts and failures.
+ */
+@NullMarked
+package org.hemlockgw.core.common;
+
+import org.jspecify.annotations.NullMarked;
