Add the design page and the interfaces between the parts

The parts are to be built at the same time, so their boundaries are fixed first: docs/design.md states requirements, state ownership, messages and failure handling, and core holds the types that the parts share. Ruled out: one module for all, because the decision logic must stay free of I/O to be checked by properties.

--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/blackboard/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Immutable sections shared between controllers and the request path.
+ */
+@NullMarked
+package org.hemlockgw.core.blackboard;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/common/CallFailure.java
@@ -0,0 +1,70 @@
+package org.hemlockgw.core.common;
+
+import java.time.Duration;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Failure of a request. Futures of the request path complete exceptionally with this type
+ * only.
+ */
+public final class CallFailure extends RuntimeException {
+
+	private static final long serialVersionUID = 1L;
+
+	private final ErrorCode code;
+
+	private final Verdict verdict;
+
+	private final transient @Nullable Duration retryAfter;
+
+	public CallFailure(ErrorCode code, Verdict verdict, String message) {
+		this(code, verdict, message, null);
+	}
+
+	public CallFailure(ErrorCode code, Verdict verdict, String message, @Nullable Duration retryAfter) {
+		// Stack traces are omitted because failures are ordinary results under overload.
+		super(message, null, false, false);
+		this.code = code;
+		this.verdict = verdict;
+		this.retryAfter = retryAfter;
+	}
+
+	public static CallFailure notRun(ErrorCode code, String message) {
+		return new CallFailure(code, Verdict.NOT_RUN, message);
+	}
+
+	public static CallFailure mayHaveRun(ErrorCode code, String message) {
+		return new CallFailure(code, Verdict.MAY_HAVE_RUN, message);
+	}
+
+	/**
+	 * Converts any throwable of a future into a failure. A throwable that is not a
+	 * {@code CallFailure} proves nothing, so its verdict is {@code MAY_HAVE_RUN}.
+	 * @param thrown what the future completed with, possibly wrapped
+	 * @return the failure
+	 */
+	public static CallFailure of(Throwable thrown) {
+		Throwable t = thrown;
+		while (t != null) {
+			if (t instanceof CallFailure failure) {
+				return failure;
+			}
+			t = t.getCause();
+		}
+		return mayHaveRun(ErrorCode.INTERNAL, String.valueOf(thrown));
+	}
+
+	public ErrorCode code() {
+		return this.code;
+	}
+
+	public Verdict verdict() {
+		return this.verdict;
+	}
+
+	public @Nullable Duration retryAfter() {
+		return this.retryAfter;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/control/ControlLog.java
@@ -0,0 +1,13 @@
+package org.hemlockgw.core.control;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Writer of the {@code control} stream.
+ */
+@FunctionalInterface
+public interface ControlLog {
+
+	CompletableFuture<Long> append(ControlRecord record);
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/control/ControlState.java
@@ -0,0 +1,32 @@
+package org.hemlockgw.core.control;
+
+import java.util.Map;
+
+import org.hemlockgw.core.common.Incarnation;
+import org.hemlockgw.core.common.ShardId;
+
+/**
+ * Fold of the control stream.
+ *
+ * @param offset next offset to read
+ * @param incarnations current incarnation of each VM, by VM name; a VM reported down is
+ * missing until it starts again
+ * @param shards holders by shard; a shard never claimed is missing
+ * @param engines holders by engine name
+ * @param quarantined quarantine records by digest
+ */
+public record ControlState(long offset, Map<String, Incarnation> incarnations, Map<ShardId, Holder> shards,
+		Map<String, Holder> engines, Map<String, ControlRecord.Quarantine> quarantined) {
+
+	/** Fold of an empty stream. */
+	public static final ControlState EMPTY = new ControlState(0, Map.of(), Map.of(), Map.of(), Map.of());
+
+	public Holder shard(ShardId shard) {
+		return this.shards.getOrDefault(shard, Holder.NONE);
+	}
+
+	public Holder engine(String name) {
+		return this.engines.getOrDefault(name, Holder.NONE);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/control/Holder.java
@@ -0,0 +1,27 @@
+package org.hemlockgw.core.control;
+
+import java.time.Instant;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.common.Incarnation;
+
+/**
+ * Who holds a shard or an engine.
+ *
+ * @param epoch epoch of the last accepted claim; 0 for never claimed
+ * @param incarnation the claimant of that epoch, or {@code null} after a release or
+ * before the first claim
+ * @param ready whether the take-over of that epoch is complete; always true for an engine
+ * @param since time of the claim
+ * @param unsealed claimants since and including the last one with a completed take-over,
+ * oldest first, whose ledgers a successor seals and reads; empty for an engine
+ */
+public record Holder(long epoch, @Nullable Incarnation incarnation, boolean ready, Instant since,
+		List<Incarnation> unsealed) {
+
+	/** Never claimed. */
+	public static final Holder NONE = new Holder(0, null, false, Instant.EPOCH, List.of());
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/control/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Records of the control stream and the ownership and quarantine state folded from them.
+ */
+@NullMarked
+package org.hemlockgw.core.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/explain/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Explanation of what happened to a request.
+ */
+@NullMarked
+package org.hemlockgw.core.explain;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/membership/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * VMs, data centres and the assignment of shards and engines to daemons.
+ */
+@NullMarked
+package org.hemlockgw.core.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/platform/PlainServiceClient.java
@@ -0,0 +1,17 @@
+package org.hemlockgw.core.platform;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Client of one plain service. Futures fail with
+ * {@link org.hemlockgw.core.common.CallFailure} only: {@code NOT_RUN} when provably no
+ * byte was sent or the service said that it did not admit the call, else
+ * {@code MAY_HAVE_RUN}.
+ */
+@FunctionalInterface
+public interface PlainServiceClient {
+
+	CompletableFuture<ServiceResponse> call(String requestId, String path, byte[] body, Duration timeout);
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/program/CallResult.java
@@ -0,0 +1,14 @@
+package org.hemlockgw.core.program;
+
+/**
+ * Answer of a finished call, with verdict {@code RAN}.
+ *
+ * @param text whole answer of a model turn; empty for a service call
+ * @param usage tokens of a model turn
+ * @param finishReason {@code stop} or {@code length}; empty for a service call
+ * @param status HTTP status of a service call; 200 for a model turn
+ * @param body body of a service call's answer
+ * @param turn number of the turn in the program, from 1; 0 for a service call
+ */
+public record CallResult(String text, Usage usage, String finishReason, int status, byte[] body, int turn) {
+}
