--- a/core/src/main/java/org/hemlockgw/core/common/CallFailure.java
+++ b/core/src/main/java/org/hemlockgw/core/common/CallFailure.java
@@ -55,6 +55,11 @@
 		return mayHaveRun(ErrorCode.INTERNAL, String.valueOf(thrown));
 	}
 
+	@Override
+	public String getMessage() {
+		return String.valueOf(super.getMessage());
+	}
+
 	public ErrorCode code() {
 		return this.code;
 	}
