--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/config/DocumentReader.java
@@ -0,0 +1,220 @@
+package org.hemlockgw.core.config;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the members of one JSON object with checks and collects errors. A member that
+ * fails its check reads as its fallback, so that one pass finds all errors; the values
+ * read are meaningful only if there was none. A {@code null} fallback makes the member
+ * required.
+ */
+public final class DocumentReader {
+
+	private final JsonNode node;
+
+	private final String path;
+
+	private final List<ConfigError> errors;
+
+	private final Set<String> known = new TreeSet<>();
+
+	public DocumentReader(JsonNode node, String path, List<ConfigError> errors) {
+		this.path = path;
+		this.errors = errors;
+		this.node = node;
+		if (!node.isObject()) {
+			errors.add(ConfigError.of(path, node, "an object of keys and values"));
+		}
+	}
+
+	public String path(String key) {
+		return this.path.isEmpty() ? key : this.path + "." + key;
+	}
+
+	public void error(String key, String allowed) {
+		this.errors.add(ConfigError.of(path(key), this.node.path(key), allowed));
+	}
+
+	/**
+	 * Reads a whole number.
+	 * @param key the key
+	 * @param min lowest value allowed
+	 * @param max highest value allowed
+	 * @param fallback value of a missing key; {@code null} if required
+	 * @return the value
+	 */
+	public long integer(String key, long min, long max, @Nullable Long fallback) {
+		String allowed = "a whole number from " + min + " to " + max;
+		Optional<JsonNode> value = member(key, fallback == null, allowed);
+		if (value.isPresent()) {
+			JsonNode v = value.get();
+			if (v.isIntegralNumber() && v.canConvertToLong() && v.longValue() >= min && v.longValue() <= max) {
+				return v.longValue();
+			}
+			error(key, allowed);
+		}
+		return (fallback != null) ? fallback : min;
+	}
+
+	/**
+	 * Reads a number above 0.
+	 * @param key the key
+	 * @param max highest value allowed
+	 * @param fallback value of a missing key; {@code null} if required
+	 * @return the value
+	 */
+	public double positive(String key, double max, @Nullable Double fallback) {
+		String allowed = "a number above 0, up to " + max;
+		Optional<JsonNode> value = member(key, fallback == null, allowed);
+		if (value.isPresent()) {
+			JsonNode v = value.get();
+			if (v.isNumber() && v.doubleValue() > 0 && v.doubleValue() <= max) {
+				return v.doubleValue();
+			}
+			error(key, allowed);
+		}
+		return (fallback != null) ? fallback : 1;
+	}
+
+	public boolean bool(String key, boolean fallback) {
+		Optional<JsonNode> value = member(key, false, "true or false");
+		if (value.isPresent() && !value.get().isBoolean()) {
+			error(key, "true or false");
+		}
+		return value.map((v) -> v.isBoolean() ? v.booleanValue() : fallback).orElse(fallback);
+	}
+
+	/**
+	 * Reads a text.
+	 * @param key the key
+	 * @param check accepts allowed values
+	 * @param allowed describes them
+	 * @param fallback value of a missing key; {@code null} if required
+	 * @return the value
+	 */
+	public String text(String key, Predicate<String> check, String allowed, @Nullable String fallback) {
+		Optional<JsonNode> value = member(key, fallback == null, allowed);
+		if (value.isPresent()) {
+			JsonNode v = value.get();
+			if (v.isTextual() && check.test(v.textValue())) {
+				return v.textValue();
+			}
+			error(key, allowed);
+		}
+		return (fallback != null) ? fallback : "";
+	}
+
+	/**
+	 * Reads a duration.
+	 * @param key the key
+	 * @param min lowest value allowed
+	 * @param max highest value allowed
+	 * @param fallback value of a missing key
+	 * @return the value
+	 */
+	public Duration duration(String key, Duration min, Duration max, Duration fallback) {
+		String allowed = "a duration from " + DurationText.format(min) + " to " + DurationText.format(max)
+				+ " as a whole number and ms, s, m, h or d, such as 30s";
+		Predicate<String> check = (text) -> DurationText.parse(text)
+			.filter((d) -> d.compareTo(min) >= 0 && d.compareTo(max) <= 0)
+			.isPresent();
+		String text = text(key, check, allowed, DurationText.format(fallback));
+		return DurationText.parse(text).orElse(fallback);
+	}
+
+	/**
+	 * Reads a list of different texts; a missing key reads as an empty list.
+	 * @param key the key
+	 * @param check accepts allowed values
+	 * @param allowed describes them
+	 * @return the values in document order
+	 */
+	public Set<String> texts(String key, Predicate<String> check, String allowed) {
+		Set<String> result = new LinkedHashSet<>();
+		Optional<JsonNode> list = member(key, false, "a list");
+		if (list.isEmpty()) {
+			return result;
+		}
+		if (!list.get().isArray()) {
+			error(key, "a list; each item " + allowed);
+			return result;
+		}
+		for (int i = 0; i < list.get().size(); i++) {
+			JsonNode item = list.get().get(i);
+			if (!item.isTextual() || !check.test(item.textValue())) {
+				this.errors.add(ConfigError.of(path(key) + "[" + i + "]", item, allowed));
+			}
+			else if (!result.add(item.textValue())) {
+				this.errors.add(ConfigError.of(path(key) + "[" + i + "]", item, "each value once"));
+			}
+		}
+		return result;
+	}
+
+	/**
+	 * Reads an object whose keys are fixed; a missing key reads as an empty object.
+	 * @param key the key
+	 * @return a reader of the object
+	 */
+	public DocumentReader object(String key) {
+		JsonNode value = member(key, false, "").orElse(JsonNodeFactory.instance.objectNode());
+		return new DocumentReader(value, path(key), this.errors);
+	}
+
+	/**
+	 * Reads an object whose keys are names of entries; a missing key reads as empty.
+	 * @param key the key
+	 * @param check accepts allowed names
+	 * @param allowed describes them
+	 * @return readers by name in document order
+	 */
+	public Map<String, DocumentReader> entries(String key, Predicate<String> check, String allowed) {
+		Map<String, DocumentReader> result = new LinkedHashMap<>();
+		DocumentReader map = object(key);
+		for (Map.Entry<String, JsonNode> entry : map.node.properties()) {
+			String name = entry.getKey();
+			if (!check.test(name)) {
+				map.error(name, "a name of " + allowed);
+			}
+			result.put(name, new DocumentReader(entry.getValue(), map.path(name), this.errors));
+		}
+		return result;
+	}
+
+	/**
+	 * Reports keys that were not asked for. Called after all members were read.
+	 */
+	public void rejectUnknownKeys() {
+		List<String> unknown = new ArrayList<>();
+		this.node.fieldNames().forEachRemaining(unknown::add);
+		unknown.removeAll(this.known);
+		unknown.forEach((key) -> error(key, "the keys " + String.join(", ", this.known)));
+	}
+
+	private Optional<JsonNode> member(String key, boolean required, String allowed) {
+		this.known.add(key);
+		JsonNode value = this.node.path(key);
+		if (!(value instanceof MissingNode)) {
+			return Optional.of(value);
+		}
+		if (required && this.node.isObject()) {
+			error(key, allowed);
+		}
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/config/IpAddress.java
@@ -0,0 +1,75 @@
+package org.hemlockgw.core.config;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Checks addresses of the form {@code IP number:port}. Host names are not allowed because
+ * the system resolves no names.
+ */
+public final class IpAddress {
+
+	/** What an address to connect to looks like. */
+	public static final String ALLOWED = "IP number and port 1 to 65535, such as 10.0.0.1:8080 or [fd00::1]:8080";
+
+	/** What an address to listen on looks like. */
+	public static final String ALLOWED_LISTENER = "IP number and port 0 to 65535 (0 = chosen by the system), "
+			+ "such as 10.0.0.1:8080 or [fd00::1]:8080";
+
+	private static final int MAX_PORT = 65_535;
+
+	private static final Pattern V4 = Pattern.compile(
+			"((?:(?:25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)\\.){3}(?:25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)):(\\d{1,5})");
+
+	private static final Pattern V6 = Pattern.compile("\\[([0-9a-fA-F:]{2,39})\\]:(\\d{1,5})");
+
+	private static final Pattern V6_GROUP = Pattern.compile("[0-9a-fA-F]{1,4}");
+
+	private static final int V6_GROUPS = 8;
+
+	private IpAddress() {
+	}
+
+	/**
+	 * Checks an address.
+	 * @param text the address
+	 * @param minPort lowest port allowed
+	 * @return whether it is an IP number and a port
+	 */
+	public static boolean isValid(String text, int minPort) {
+		Matcher v4 = V4.matcher(text);
+		if (v4.matches()) {
+			return isPort(v4.group(2), minPort);
+		}
+		Matcher v6 = V6.matcher(text);
+		return v6.matches() && isPort(v6.group(2), minPort) && isV6(v6.group(1));
+	}
+
+	private static boolean isPort(String text, int min) {
+		int port = Integer.parseInt(text);
+		return port >= min && port <= MAX_PORT;
+	}
+
+	private static boolean isV6(String text) {
+		int gap = text.indexOf("::");
+		if (gap < 0) {
+			return groups(text) == V6_GROUPS;
+		}
+		int before = (gap == 0) ? 0 : groups(text.substring(0, gap));
+		String rest = text.substring(gap + 2);
+		int after = rest.isEmpty() ? 0 : groups(rest);
+		return before >= 0 && after >= 0 && before + after < V6_GROUPS;
+	}
+
+	// Returns the number of groups, or -1 if one of them is malformed.
+	private static int groups(String text) {
+		String[] parts = text.split(":", -1);
+		for (String part : parts) {
+			if (!V6_GROUP.matcher(part).matches()) {
+				return -1;
+			}
+		}
+		return parts.length;
+	}
+
+}
