--- a/core/src/main/java/org/hemlockgw/core/schedule/CompletionEstimate.java
+++ b/core/src/main/java/org/hemlockgw/core/schedule/CompletionEstimate.java
@@ -37,10 +37,9 @@
 		double prefill = Math.max(1, load.prefillTokensPerSecond());
 		double ahead = (load.queuedTokens() + pendingTokens) / prefill;
 		double own = Math.max(0, promptTokens - cachedTokens) / prefill;
-		double crowding = (load.inFlight() + 1.0) / Math.max(1, load.inFlightLimit());
-		double perToken = (1 + crowding) / Math.max(1, load.decodeTokensPerSecond());
+		double answer = EXPECTED_ANSWER_TOKENS * (load.inFlight() + 1) / Math.max(1, load.decodeTokensPerSecond());
 		double wasted = Math.max(0, cachedElsewhere - cachedTokens) / prefill;
-		return ahead + own + perToken * EXPECTED_ANSWER_TOKENS + wasted * wasteWeight(policy);
+		return ahead + own + answer + wasted * wasteWeight(policy);
 	}
 
 	private static double wasteWeight(Policy policy) {
--- a/daemon/src/main/java/org/hemlockgw/daemon/dispatch/EngineLane.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/dispatch/EngineLane.java
@@ -190,7 +190,7 @@
 		long generated = Math.max(0, attempt.deliveredTokens() - 1);
 		Duration decoding = attempt.sinceFirstToken();
 		long uncached = Math.max(0, usage.promptTokens() - usage.cachedTokens());
-		this.speed = this.speed.observe(uncached, attempt.toFirstToken(), generated, decoding);
+		this.speed = this.speed.observe(uncached, attempt.toFirstToken(), generated, decoding, wasInFlight);
 		if (generated > 0) {
 			this.limit = this.limit.observe(decoding.dividedBy(generated), wasInFlight);
 		}
--- /dev/null
+++ b/experiment/src/main/java/org/hemlockgw/experiment/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Load tool and measurements.
+ */
+@NullMarked
+package org.hemlockgw.experiment;
+
+import org.jspecify.annotations.NullMarked;
