--- /dev/null
+++ b/wire/src/test/java/org/hemlockgw/wire/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the transport between daemons.
+ */
+@NullMarked
+package org.hemlockgw.wire;
+
+import org.jspecify.annotations.NullMarked;
