--- a/core/src/main/java/org/hemlockgw/core/program/CallResult.java
+++ b/core/src/main/java/org/hemlockgw/core/program/CallResult.java
@@ -9,6 +9,13 @@
  * @param status HTTP status of a service call; 200 for a model turn
  * @param body body of a service call's answer
  * @param turn number of the turn in the program, from 1; 0 for a service call
+ * @param durable whether the turn's record is in the log; false only in a log outage
  */
-public record CallResult(String text, Usage usage, String finishReason, int status, byte[] body, int turn) {
+public record CallResult(String text, Usage usage, String finishReason, int status, byte[] body, int turn,
+		boolean durable) {
+
+	public CallResult(String text, Usage usage, String finishReason, int status, byte[] body, int turn) {
+		this(text, usage, finishReason, status, body, turn, true);
+	}
+
 }
--- a/wire/src/main/java/org/hemlockgw/wire/PeerMessages.java
+++ b/wire/src/main/java/org/hemlockgw/wire/PeerMessages.java
@@ -119,12 +119,13 @@
 			.setStatus(result.status())
 			.setBody(ByteString.copyFrom(result.body()))
 			.setTurn(result.turn())
+			.setDurable(result.durable())
 			.build();
 	}
 
 	static CallResult result(CallAnswer message) {
 		return new CallResult(message.getText(), usage(message.getUsage()), message.getFinishReason(),
-				message.getStatus(), message.getBody().toByteArray(), message.getTurn());
+				message.getStatus(), message.getBody().toByteArray(), message.getTurn(), message.getDurable());
 	}
 
 	static DispatchMessage dispatch(DispatchRequest request) {
--- a/wire/src/main/java/org/hemlockgw/wire/RemoteDispatcher.java
+++ b/wire/src/main/java/org/hemlockgw/wire/RemoteDispatcher.java
@@ -16,7 +16,9 @@
 import org.hemlockgw.generated.peer.Response;
 
 /**
- * The dispatcher of another daemon.
+ * The dispatcher of another daemon. Its futures fail with {@code OWNER_UNAVAILABLE} when
+ * that daemon is unreachable, and with {@code BACKEND_UNAVAILABLE} when the daemon says
+ * that the engine is.
  */
 public final class RemoteDispatcher implements Dispatcher {
 
@@ -39,7 +41,7 @@
 	@Override
 	public CompletableFuture<DispatchResult> dispatch(DispatchRequest request, EventSink sink) {
 		Request message = Request.newBuilder().setDispatch(PeerMessages.dispatch(request)).build();
-		return this.client.send(this.address, message, ErrorCode.BACKEND_UNAVAILABLE, sink)
+		return this.client.send(this.address, message, ErrorCode.OWNER_UNAVAILABLE, sink)
 			.thenApply((response) -> PeerMessages.result(response.getDispatch()));
 	}
 
@@ -59,7 +61,7 @@
 	 * Releases a cache session and tells when the dispatcher has taken the order over.
 	 * @param engine name of the backend server
 	 * @param program the ended program
-	 * @return fails with {@code BACKEND_UNAVAILABLE} when the dispatcher did not answer
+	 * @return fails with {@code OWNER_UNAVAILABLE} when the dispatcher did not answer
 	 */
 	public CompletableFuture<Void> acknowledgedRelease(String engine, ProgramId program) {
 		ReleaseSession message = ReleaseSession.newBuilder()
@@ -71,7 +73,7 @@
 	}
 
 	private CompletableFuture<Response> send(Request request) {
-		return this.client.send(this.address, request, ErrorCode.BACKEND_UNAVAILABLE, (event) -> {
+		return this.client.send(this.address, request, ErrorCode.OWNER_UNAVAILABLE, (event) -> {
 		});
 	}
 
