--- a/daemon/src/main/java/org/hemlockgw/daemon/entry/CallerServer.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/entry/CallerServer.java
@@ -76,9 +76,12 @@
 		return this.handler.open();
 	}
 
+	/**
+	 * Closes all connections. A graceful shutdown first waits until no request is open.
+	 */
 	@Override
 	public void close() {
-		this.server.close(CloseMode.GRACEFUL);
+		this.server.close(CloseMode.IMMEDIATE);
 	}
 
 	/**
--- /dev/null
+++ b/daemon/src/test/java/org/hemlockgw/daemon/entry/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the HTTP interface for callers.
+ */
+@NullMarked
+package org.hemlockgw.daemon.entry;
+
+import org.jspecify.annotations.NullMarked;
