--- a/standins/src/main/java/org/hemlockgw/standins/engine/EngineOptions.java
+++ b/standins/src/main/java/org/hemlockgw/standins/engine/EngineOptions.java
@@ -22,7 +22,7 @@
 		requirePositive("prefill_tokens_per_s", prefillTokensPerS);
 		requirePositive("decode_tokens_per_s", decodeTokensPerS);
 		requirePositive("max_batch", maxBatch);
-		requirePositive("cache_tokens", cacheTokens);
+		requirePositive("cache_tokens", (double) cacheTokens);
 		requirePositive("prefill_chunk_tokens", prefillChunkTokens);
 	}
 
--- a/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +24,8 @@
  */
 public final class EngineServer implements AutoCloseable {
 
+	private static final long RESTART_RETRY_MS = 100;
+
 	private final Switches<EngineSwitches> switches;
 
 	private final EngineDriver driver;
@@ -77,8 +80,7 @@
 		this.driver.crash();
 		endStalls();
 		endMute();
-		CompletableFuture.delayedExecutor(this.switches.get().restartMs(), TimeUnit.MILLISECONDS)
-			.execute(this.http::start);
+		restartAfter(this.switches.get().restartMs());
 	}
 
 	@Override
@@ -244,6 +246,19 @@
 		}
 	}
 
+	private void restartAfter(long delayMs) {
+		CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS).execute(() -> {
+			try {
+				this.http.start();
+			}
+			catch (UncheckedIOException ex) {
+				// An outgoing connection of another process may hold the port for a
+				// while.
+				restartAfter(RESTART_RETRY_MS);
+			}
+		});
+	}
+
 	private void switchesChanged() {
 		this.driver.apply((now) -> true);
 		if (!this.switches.get().mute()) {
--- a/standins/src/main/java/org/hemlockgw/standins/engine/EngineText.java
+++ b/standins/src/main/java/org/hemlockgw/standins/engine/EngineText.java
@@ -79,7 +79,7 @@
 		if (role.equals("assistant")) {
 			return words(content);
 		}
-		int bytes = content.getBytes(StandardCharsets.UTF_8).length;
+		long bytes = content.getBytes(StandardCharsets.UTF_8).length;
 		return (bytes + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
 	}
 
--- a/standins/src/main/java/org/hemlockgw/standins/http/StandinHttpServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/http/StandinHttpServer.java
@@ -40,7 +40,7 @@
 
 	private int port;
 
-	private @Nullable HttpServer server;
+	private volatile @Nullable HttpServer server;
 
 	private boolean closed;
 
@@ -73,6 +73,7 @@
 					.setSoReuseAddress(true)
 					.setTcpNoDelay(true)
 					.build())
+				.setServerSocketFactory(new ListenerSocket.Factory())
 				.setRequestRouter((request, context) -> this::handle)
 				.setExceptionListener(IGNORE_BROKEN_CONNECTIONS)
 				.create();
@@ -87,9 +88,10 @@
 
 	/** Breaks all connections and refuses new ones. */
 	public synchronized void stop() {
-		if (this.server != null) {
-			this.server.close(CloseMode.IMMEDIATE);
-			this.server = null;
+		HttpServer running = this.server;
+		this.server = null;
+		if (running != null) {
+			running.close(CloseMode.IMMEDIATE);
 		}
 	}
 
@@ -105,6 +107,10 @@
 
 	private void handle(ClassicHttpRequest request, ClassicHttpResponse response, HttpContext context)
 			throws IOException {
+		if (this.server == null) {
+			// A connection accepted during stop() can outlive it.
+			throw new IOException("the server is stopped");
+		}
 		Exchange exchange = new Exchange(request, response);
 		try {
 			this.handler.handle(exchange);
--- a/standins/src/main/java/org/hemlockgw/standins/log/RetainedStream.java
+++ b/standins/src/main/java/org/hemlockgw/standins/log/RetainedStream.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 import org.hemlockgw.core.platform.LogPage;
 import org.hemlockgw.core.platform.LogRecord;
@@ -21,6 +22,8 @@
 
 	private long bytes;
 
+	private long wakeUps;
+
 	synchronized long append(byte[] data, Instant now) {
 		this.records.add(new LogRecord(this.next, now, data));
 		this.bytes += data.length;
@@ -50,13 +53,19 @@
 	 * @throws InterruptedException when the server stops
 	 */
 	synchronized void await(long from, Duration wait) throws InterruptedException {
-		long leftMs = wait.toMillis();
-		if (this.next <= from && leftMs > 0) {
+		long deadlineNs = System.nanoTime() + wait.toNanos();
+		long seen = this.wakeUps;
+		while (this.next <= from && this.wakeUps == seen) {
+			long leftMs = TimeUnit.NANOSECONDS.toMillis(deadlineNs - System.nanoTime());
+			if (leftMs <= 0) {
+				return;
+			}
 			wait(leftMs);
 		}
 	}
 
 	synchronized void wake() {
+		this.wakeUps++;
 		notifyAll();
 	}
 
