--- a/core/src/main/java/org/hemlockgw/core/config/Blame.java
+++ b/core/src/main/java/org/hemlockgw/core/config/Blame.java
@@ -91,14 +91,25 @@
 	 * @return the blame, or empty if the tree holds anything but objects and versions
 	 */
 	public static Optional<Blame> decode(JsonNode tree) {
-		return isTree(tree) ? Optional.of(new Blame(tree)) : Optional.empty();
+		return normalise(tree).map(Blame::new);
 	}
 
-	private static boolean isTree(JsonNode node) {
-		if (node.isObject()) {
-			return node.properties().stream().allMatch((entry) -> isTree(entry.getValue()));
+	// A parser returns small numbers as another node type, which would compare as
+	// unequal.
+	private static Optional<JsonNode> normalise(JsonNode node) {
+		if (!node.isObject()) {
+			boolean number = node.isIntegralNumber() && node.canConvertToLong();
+			return number ? Optional.of(LongNode.valueOf(node.longValue())) : Optional.empty();
 		}
-		return node.isIntegralNumber() && node.canConvertToLong();
+		ObjectNode result = JsonNodeFactory.instance.objectNode();
+		for (Map.Entry<String, JsonNode> entry : node.properties()) {
+			Optional<JsonNode> child = normalise(entry.getValue());
+			if (child.isEmpty()) {
+				return Optional.empty();
+			}
+			result.set(entry.getKey(), child.get());
+		}
+		return Optional.of(result);
 	}
 
 }
