--- a/cli/src/main/java/org/hemlockgw/cli/Clients.java
+++ b/cli/src/main/java/org/hemlockgw/cli/Clients.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.Executor;
 
+import org.hemlockgw.platform.HttpLogService;
+import org.hemlockgw.platform.HttpVmList;
 import org.hemlockgw.platform.admin.HttpAdminClient;
 
 /**
@@ -13,11 +15,8 @@
 	}
 
 	static Platform connect(Executor executor) {
-		return new Platform((address) -> {
-			throw CommandFailure.failed("No client of the log service in this build");
-		}, (address) -> {
-			throw CommandFailure.failed("No client of the VM list in this build");
-		}, new HttpAdminClient(executor));
+		return new Platform((address) -> new HttpLogService(address, executor),
+				(address) -> new HttpVmList(address, executor), new HttpAdminClient(executor));
 	}
 
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/config/ConfigController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/config/ConfigController.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -104,6 +105,14 @@
 		return this.state;
 	}
 
+	/**
+	 * Returns the state for peers.
+	 * @return the document in force with its history; empty before the first
+	 */
+	public Optional<ConfigSnapshot> snapshot() {
+		return this.first.isDone() ? Optional.of(this.state.snapshot()) : Optional.empty();
+	}
+
 	/**
 	 * Reads the stream at once if a peer has a higher version; asks a peer if the log
 	 * cannot be read.
@@ -157,9 +166,14 @@
 				return 1;
 			});
 		}
-		return this.log.read(ConfigStream.NAME, this.state.next(), ConfigStream.PAGE_RECORDS, wait)
-			.orTimeout(timeoutMs, TimeUnit.MILLISECONDS)
-			.thenApply(this::fold);
+		CompletableFuture<LogPage> page = this.log.read(ConfigStream.NAME, this.state.next(), ConfigStream.PAGE_RECORDS,
+				wait);
+		return page.copy().orTimeout(timeoutMs, TimeUnit.MILLISECONDS).whenComplete((ok, error) -> {
+			if (error != null) {
+				// Frees the connection of a read that got no response.
+				page.cancel(true);
+			}
+		}).thenApply(this::fold);
 	}
 
 	private synchronized int fold(LogPage page) {
--- a/daemon/src/main/java/org/hemlockgw/daemon/membership/VmListController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/membership/VmListController.java
@@ -57,10 +57,13 @@
 		if (this.closed) {
 			return;
 		}
-		this.vmList.list()
+		CompletableFuture<List<Vm>> list = this.vmList.list();
+		list.copy()
 			.orTimeout(POLL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
 			.thenAccept(this::publish)
 			.whenComplete((ok, error) -> {
+				// Frees the connection of a request that got no response.
+				list.cancel(true);
 				if (error != null) {
 					logger.atWarning()
 						.atMostEvery(10, TimeUnit.SECONDS)
