--- a/core/src/main/java/org/hemlockgw/core/config/ConfigStream.java
+++ b/core/src/main/java/org/hemlockgw/core/config/ConfigStream.java
@@ -103,9 +103,12 @@
 				state = Optional.of(ConfigState.EMPTY);
 			}
 		}
-		return state.map((s) -> CompletableFuture.completedFuture(new Start(s, records)))
-			.orElseGet(() -> CompletableFuture
-				.failedFuture(unavailable("keeps neither the beginning nor a usable snapshot")));
+		if (state.isEmpty()) {
+			return CompletableFuture.failedFuture(unavailable("keeps neither the beginning nor a usable snapshot"));
+		}
+		long next = state.get().next();
+		List<LogRecord> following = records.stream().filter((entry) -> entry.offset() >= next).toList();
+		return CompletableFuture.completedFuture(new Start(state.get(), following));
 	}
 
 	private static Optional<ConfigState> latestSnapshot(long from, List<LogRecord> records) {
@@ -144,7 +147,7 @@
 	 * Where a reader starts.
 	 *
 	 * @param state state to start from
-	 * @param records records that follow, possibly with earlier ones before them
+	 * @param records all records that follow
 	 */
 	public record Start(ConfigState state, List<LogRecord> records) {
 
