--- /dev/null
+++ b/cli/src/main/java/org/hemlockgw/cli/Clients.java
@@ -0,0 +1,22 @@
+package org.hemlockgw.cli;
+
+import java.util.concurrent.Executor;
+
+import org.hemlockgw.platform.HttpLogService;
+import org.hemlockgw.platform.HttpVmList;
+import org.hemlockgw.platform.admin.HttpAdminClient;
+
+/**
+ * Creates the clients of the platform.
+ */
+final class Clients {
+
+	private Clients() {
+	}
+
+	static Platform connect(Executor executor) {
+		return new Platform((address) -> new HttpLogService(address, executor),
+				(address) -> new HttpVmList(address, executor), new HttpAdminClient(executor));
+	}
+
+}
