--- a/core/src/main/java/org/hemlockgw/core/control/Holder.java
+++ b/core/src/main/java/org/hemlockgw/core/control/Holder.java
@@ -11,8 +11,8 @@
  * Who holds a shard or an engine.
  *
  * @param epoch epoch of the last accepted claim; 0 for never claimed
- * @param incarnation the claimant of that epoch, or {@code null} after a release or
- * before the first claim
+ * @param incarnation the claimant of that epoch, or {@code null} after a release, after a
+ * report that it is down, or before the first claim
  * @param ready whether the take-over of that epoch is complete; always true for an engine
  * @param since time of the claim
  * @param unsealed claimants since and including the last one with a completed take-over,
--- a/core/src/main/java/org/hemlockgw/core/ledger/LedgerRecord.java
+++ b/core/src/main/java/org/hemlockgw/core/ledger/LedgerRecord.java
@@ -82,6 +82,20 @@
 	record Seal(Set<ShardId> shards, long epoch, String by) implements LedgerRecord {
 	}
 
+	/**
+	 * Written by a daemon into its own ledger when it takes shards over and in each
+	 * checkpoint: only a seal with a higher epoch makes later records of these shards
+	 * void. A shard can so return to an incarnation whose ledger was sealed before, and a
+	 * seal of an earlier claim that the log applied late has no effect.
+	 *
+	 * @param shards the shards
+	 * @param epoch epoch of the claim
+	 * @param stateFollows whether the rest of the batch has a checkpoint of every program
+	 * of these shards, so that earlier records of them no longer count
+	 */
+	record EpochOpened(Set<ShardId> shards, long epoch, boolean stateFollows) implements LedgerRecord {
+	}
+
 	/**
 	 * Durable state of one program.
 	 *
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/ledger/ProgramFold.java
@@ -0,0 +1,224 @@
+package org.hemlockgw.core.ledger;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.common.Verdict;
+import org.hemlockgw.core.ledger.LedgerRecord.CallEnded;
+import org.hemlockgw.core.ledger.LedgerRecord.Dispatched;
+import org.hemlockgw.core.ledger.LedgerRecord.Intent;
+import org.hemlockgw.core.ledger.LedgerRecord.Opened;
+import org.hemlockgw.core.ledger.LedgerRecord.Outcome;
+import org.hemlockgw.core.ledger.LedgerRecord.ProgramRecord;
+import org.hemlockgw.core.ledger.LedgerRecord.TurnCompleted;
+import org.hemlockgw.core.program.Message;
+import org.hemlockgw.core.program.ProgramState;
+import org.hemlockgw.core.program.Usage;
+
+/**
+ * Mutable state of one program while its ledger is folded. It keeps
+ * {@code 0 <= settled <= granted <= budget}.
+ */
+final class ProgramFold {
+
+	private static final byte[] NO_BODY = {};
+
+	private final long budget;
+
+	private final int maxTurns;
+
+	private final Instant openedAt;
+
+	private final Instant expiresAt;
+
+	private final List<Message> messages = new ArrayList<>();
+
+	private final Map<String, Outcome> outcomes = new LinkedHashMap<>();
+
+	private long granted;
+
+	private long settled;
+
+	private Instant lastActivity;
+
+	private ProgramState state = ProgramState.RUNNING;
+
+	private long historyTokens;
+
+	private int turns;
+
+	private long lastStep;
+
+	private @Nullable String engine;
+
+	ProgramFold(Opened opened, long budget) {
+		this.budget = budget;
+		this.granted = Math.min(Math.max(opened.granted(), 0), budget);
+		this.maxTurns = opened.maxTurns();
+		this.openedAt = opened.at();
+		this.expiresAt = opened.expiresAt();
+		this.lastActivity = opened.at();
+	}
+
+	ProgramFold(ProgramRecord record) {
+		this.budget = record.budget();
+		this.granted = record.granted();
+		this.settled = record.settled();
+		this.maxTurns = record.maxTurns();
+		this.openedAt = record.openedAt();
+		this.expiresAt = record.expiresAt();
+		this.lastActivity = record.lastActivity();
+		this.state = record.state();
+		this.messages.addAll(record.messages());
+		this.historyTokens = record.historyTokens();
+		this.turns = record.turns();
+		this.lastStep = record.lastStep();
+		this.engine = record.engine();
+		record.outcomes().forEach((outcome) -> this.outcomes.put(outcome.requestId(), outcome));
+	}
+
+	boolean running() {
+		return this.state == ProgramState.RUNNING;
+	}
+
+	long unspent() {
+		return this.budget - this.settled;
+	}
+
+	Instant lastActivity() {
+		return this.lastActivity;
+	}
+
+	void grant(long total) {
+		this.granted = Math.max(this.granted, Math.min(total, this.budget));
+	}
+
+	/**
+	 * Settles spending. Spending above the budget is dropped because nothing is left to
+	 * charge it to.
+	 * @param tokens what was spent
+	 * @return what was charged
+	 */
+	long settle(long tokens) {
+		long charged = Math.min(tokens, unspent());
+		this.settled += charged;
+		this.granted = Math.max(this.granted, this.settled);
+		return charged;
+	}
+
+	void refund(long tokens) {
+		this.settled = Math.max(0, this.settled - tokens);
+	}
+
+	void settleGrant() {
+		this.settled = this.granted;
+	}
+
+	void intent(Intent intent) {
+		Outcome known = this.outcomes.get(intent.requestId());
+		if (known != null && known.verdict() != Verdict.NOT_RUN) {
+			return;
+		}
+		this.lastActivity = intent.at();
+		put(open(intent.requestId(), intent.digest(), intent.step(), List.of()));
+	}
+
+	void dispatched(Dispatched attempt) {
+		Outcome known = this.outcomes.get(attempt.requestId());
+		if (known == null || known.verdict() == Verdict.NOT_RUN) {
+			put(open(attempt.requestId(), "", 0, List.of(attempt)));
+		}
+		else if (known.verdict() == null) {
+			List<Dispatched> attempts = new ArrayList<>(known.open());
+			attempts.add(attempt);
+			put(open(known.requestId(), known.digest(), known.step(), List.copyOf(attempts)));
+		}
+	}
+
+	/**
+	 * Applies a finished turn.
+	 * @param turn the turn
+	 * @return tokens to settle; 0 when the turn was applied before
+	 */
+	long turnCompleted(TurnCompleted turn) {
+		Outcome known = this.outcomes.get(turn.requestId());
+		if (known != null && known.verdict() == Verdict.RAN) {
+			return 0;
+		}
+		this.lastActivity = turn.at();
+		this.messages.addAll(turn.newMessages());
+		this.messages.add(turn.answer());
+		this.historyTokens = turn.usage().chargedTokens();
+		this.turns++;
+		this.lastStep = Math.max(this.lastStep, turn.step());
+		this.engine = turn.engine();
+		put(new Outcome(turn.requestId(), turn.digest(), turn.step(), Verdict.RAN, List.of(), this.turns, turn.usage(),
+				turn.finishReason(), 200, NO_BODY, ""));
+		return turn.usage().chargedTokens();
+	}
+
+	void callEnded(CallEnded call) {
+		Outcome known = this.outcomes.get(call.requestId());
+		if (known != null && known.verdict() == Verdict.RAN) {
+			return;
+		}
+		this.lastActivity = call.at();
+		if (call.verdict() != Verdict.NOT_RUN) {
+			this.lastStep = Math.max(this.lastStep, call.step());
+		}
+		put(new Outcome(call.requestId(), call.digest(), call.step(), call.verdict(), List.of(), 0, Usage.NONE, "",
+				call.status(), call.body(), call.message()));
+	}
+
+	/**
+	 * Forgets the attempts of a model call that failed, so that a successor does not
+	 * resume it.
+	 * @param requestId the call
+	 */
+	void failed(String requestId) {
+		Outcome known = this.outcomes.get(requestId);
+		if (known != null && known.verdict() == null && !known.open().isEmpty()) {
+			this.outcomes.remove(requestId);
+		}
+	}
+
+	void end(ProgramState end, Instant at) {
+		this.state = end;
+		this.lastActivity = at;
+	}
+
+	/**
+	 * Gives open non-idempotent calls the verdict {@code MAY_HAVE_RUN}. Their step counts
+	 * as finished because it must not run again.
+	 */
+	void closeIntents() {
+		this.outcomes.replaceAll((id, outcome) -> {
+			if (outcome.verdict() != null || !outcome.open().isEmpty()) {
+				return outcome;
+			}
+			this.lastStep = Math.max(this.lastStep, outcome.step());
+			return new Outcome(id, outcome.digest(), outcome.step(), Verdict.MAY_HAVE_RUN, List.of(), 0, Usage.NONE, "",
+					0, NO_BODY, "the owner was lost after the call may have been sent");
+		});
+	}
+
+	ProgramRecord toRecord() {
+		return new ProgramRecord(this.budget, this.granted, this.settled, this.maxTurns, this.openedAt, this.expiresAt,
+				this.lastActivity, this.state, List.copyOf(this.messages), this.historyTokens, this.turns,
+				this.lastStep, this.engine, List.copyOf(this.outcomes.values()));
+	}
+
+	private void put(Outcome outcome) {
+		this.outcomes.put(outcome.requestId(), outcome);
+	}
+
+	private static Outcome open(String requestId, String digest, long step, List<Dispatched> attempts) {
+		return new Outcome(requestId, digest, step, null, attempts, 0, Usage.NONE, "", 0, NO_BODY, "");
+	}
+
+}
