--- a/core/src/main/java/org/hemlockgw/core/membership/OwnershipPlan.java
+++ b/core/src/main/java/org/hemlockgw/core/membership/OwnershipPlan.java
@@ -94,6 +94,15 @@
 		return plan;
 	}
 
+	/**
+	 * Tells whether there is nothing to do.
+	 * @return true when all parts are empty
+	 */
+	public boolean isEmpty() {
+		return this.claimShards.isEmpty() && this.releaseShards.isEmpty() && this.claimEngines.isEmpty()
+				&& this.releaseEngines.isEmpty();
+	}
+
 	// A VM that is gone from the VM list counts as down without a report.
 	private static boolean held(Holder holder, ControlState state, Map<String, Vm> vms) {
 		Incarnation by = holder.incarnation();
--- a/daemon/src/main/java/org/hemlockgw/daemon/ledger/LedgerWriter.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/ledger/LedgerWriter.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -77,6 +78,8 @@
 
 	private boolean timerSet;
 
+	private @Nullable ScheduledFuture<?> timer;
+
 	private boolean retired;
 
 	public LedgerWriter(LogService log, LedgerCodec codec, Incarnation incarnation, LedgerSettings settings,
@@ -165,6 +168,16 @@
 		}
 	}
 
+	/**
+	 * Returns the shards whose records this ledger has for a successor.
+	 * @return the shards opened and not forgotten
+	 */
+	public Set<ShardId> openShards() {
+		synchronized (this.lock) {
+			return this.fold.openEpochs().keySet();
+		}
+	}
+
 	/**
 	 * Leaves shards out of further checkpoints, after a successor's take-over of them is
 	 * complete.
@@ -183,6 +196,9 @@
 	public void retire() {
 		synchronized (this.lock) {
 			this.retired = true;
+			if (this.timer != null) {
+				this.timer.cancel(false);
+			}
 		}
 	}
 
@@ -204,7 +220,10 @@
 	/** Starts periodic checkpoints. */
 	public void start() {
 		long interval = this.settings.checkpointInterval().toNanos();
-		this.scheduler.scheduleWithFixedDelay(this::checkpoint, interval, interval, TimeUnit.NANOSECONDS);
+		synchronized (this.lock) {
+			this.timer = this.scheduler.scheduleWithFixedDelay(this::checkpoint, interval, interval,
+					TimeUnit.NANOSECONDS);
+		}
 	}
 
 	/**
