--- a/daemon/src/main/java/org/hemlockgw/daemon/ledger/CheckpointProgress.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/ledger/CheckpointProgress.java
@@ -53,7 +53,6 @@
 		this.active = true;
 		this.inBatch = false;
 		this.start = -1;
-		this.waiting.addAll(this.fold.shardsWithPrograms());
 	}
 
 	void cancel() {
@@ -71,6 +70,8 @@
 		List<LedgerRecord> records = new ArrayList<>();
 		this.inBatch = this.active;
 		if (this.active && this.start < 0) {
+			// Not earlier, because the batch before this one may open a program.
+			this.waiting.addAll(this.fold.shardsWithPrograms());
 			Map<ShardId, Long> empty = new TreeMap<>(this.fold.openEpochs());
 			empty.keySet().removeAll(this.waiting);
 			LedgerReader.byEpoch(empty).forEach((epoch, shards) -> records.add(new EpochOpened(shards, epoch, true)));
--- /dev/null
+++ b/daemon/src/test/java/org/hemlockgw/daemon/control/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests.
+ */
+@NullMarked
+package org.hemlockgw.daemon.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/test/java/org/hemlockgw/daemon/ledger/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests.
+ */
+@NullMarked
+package org.hemlockgw.daemon.ledger;
+
+import org.jspecify.annotations.NullMarked;
