Add the program owner: open, end, model turns and service calls

Cause: nothing ran calls of programs yet. Change: core.budget, core.program and core.retry hold the pure state and rules; daemon.owner runs calls in order with deduplication, reservations, durable intents, continuation on another engine and quarantine. TurnCompleted.digest is now the digest of the request, which a successor needs to detect a key used twice.

--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/budget/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Token budgets of programs: reservations, settlement and durable grants.
+ */
+@NullMarked
+package org.hemlockgw.core.budget;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/hemlockgw/core/ledger/LedgerRecord.java
+++ b/core/src/main/java/org/hemlockgw/core/ledger/LedgerRecord.java
@@ -49,7 +49,7 @@
 			long firstOffset) implements OfProgram {
 	}
 
-	/** A model turn finished; {@code digest} covers the history including the answer. */
+	/** A model turn finished; {@code digest} is that of the request. */
 	record TurnCompleted(ProgramId program, String requestId, long step, List<Message> newMessages, Message answer,
 			Usage usage, String finishReason, String engine, String digest, Instant at) implements OfProgram {
 	}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/program/CallLog.java
@@ -0,0 +1,128 @@
+package org.hemlockgw.core.program;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.common.Verdict;
+import org.hemlockgw.core.ledger.LedgerRecord.Dispatched;
+import org.hemlockgw.core.ledger.LedgerRecord.Outcome;
+
+/**
+ * Calls of a program: what is known of the finished ones, and the one that runs.
+ *
+ * @param outcomes finished and open calls by request identifier, oldest first
+ * @param lastStep last finished step
+ * @param running the admitted call, if any; calls of one program run one at a time
+ */
+public record CallLog(Map<String, Outcome> outcomes, long lastStep, @Nullable RunningCall running) {
+
+	/** Calls of a new program. */
+	public static final CallLog EMPTY = new CallLog(Map.of(), 0, null);
+
+	/** Largest body of a service call that is kept for a repeat of the call. */
+	public static final int MAX_KEPT_BODY_BYTES = 64 * 1024;
+
+	/**
+	 * Service calls whose bodies are kept; bounds a program's bodies to 1 MiB in all.
+	 */
+	private static final int MAX_KEPT_BODIES = 16;
+
+	public CallLog {
+		outcomes = Collections.unmodifiableMap(outcomes);
+	}
+
+	/**
+	 * Restores the calls from the ledger. A call that did not run is forgotten, so that
+	 * its repeat runs. The step of a call that may have run counts as finished, because
+	 * the call is never sent again.
+	 * @param list outcomes, oldest first
+	 * @param lastStep last finished step
+	 * @return the calls
+	 */
+	public static CallLog restored(List<Outcome> list, long lastStep) {
+		Map<String, Outcome> outcomes = new LinkedHashMap<>();
+		long last = lastStep;
+		for (Outcome outcome : list) {
+			if (outcome.verdict() != Verdict.NOT_RUN) {
+				outcomes.put(outcome.requestId(), outcome);
+			}
+			if (outcome.verdict() == Verdict.MAY_HAVE_RUN || outcome.verdict() == Verdict.RAN) {
+				last = Math.max(last, outcome.step());
+			}
+		}
+		return new CallLog(outcomes, last, null);
+	}
+
+	/**
+	 * Returns the outcome of a finished call.
+	 * @param requestId idempotency key
+	 * @return the outcome, or {@code null} when the call is unknown, open or did not run
+	 */
+	public @Nullable Outcome finished(String requestId) {
+		Outcome outcome = this.outcomes.get(requestId);
+		return (outcome == null || outcome.verdict() == null) ? null : outcome;
+	}
+
+	CallLog started(RunningCall call) {
+		Outcome open = new Outcome(call.requestId(), call.digest(), call.step(), null, List.of(), 0, Usage.NONE, "", 0,
+				new byte[0], "");
+		return new CallLog(with(open), this.lastStep, call);
+	}
+
+	CallLog skippedTo(long step) {
+		return new CallLog(this.outcomes, Math.max(this.lastStep, step), this.running);
+	}
+
+	CallLog dispatched(Dispatched attempt) {
+		Outcome before = this.outcomes.get(attempt.requestId());
+		if (before == null) {
+			return this;
+		}
+		List<Dispatched> attempts = new ArrayList<>(before.open());
+		attempts.add(attempt);
+		Outcome open = new Outcome(before.requestId(), before.digest(), before.step(), null, attempts, 0, Usage.NONE,
+				"", 0, new byte[0], "");
+		return new CallLog(with(open), this.lastStep, this.running);
+	}
+
+	CallLog finished(Outcome outcome) {
+		return new CallLog(trimmed(with(outcome)), Math.max(this.lastStep, outcome.step()), null);
+	}
+
+	CallLog forgotten(String requestId) {
+		Map<String, Outcome> rest = new LinkedHashMap<>(this.outcomes);
+		rest.remove(requestId);
+		return new CallLog(rest, this.lastStep, null);
+	}
+
+	private Map<String, Outcome> with(Outcome outcome) {
+		Map<String, Outcome> all = new LinkedHashMap<>(this.outcomes);
+		all.remove(outcome.requestId());
+		all.put(outcome.requestId(), outcome);
+		return all;
+	}
+
+	private static Map<String, Outcome> trimmed(Map<String, Outcome> outcomes) {
+		List<Outcome> bodies = outcomes.values().stream().filter((outcome) -> outcome.body().length > 0).toList();
+		for (int i = 0; i < bodies.size() - MAX_KEPT_BODIES; i++) {
+			Outcome old = bodies.get(i);
+			outcomes.put(old.requestId(), new Outcome(old.requestId(), old.digest(), old.step(), old.verdict(),
+					old.open(), old.turn(), old.usage(), old.finishReason(), old.status(), new byte[0], bodyDropped()));
+		}
+		return outcomes;
+	}
+
+	static String bodyTooLarge(int bytes) {
+		return "the call ran; its body of " + bytes + " bytes was not kept, the limit is " + MAX_KEPT_BODY_BYTES;
+	}
+
+	private static String bodyDropped() {
+		return "the call ran; only the bodies of the last " + MAX_KEPT_BODIES + " service calls are kept";
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/program/ProgramSnapshot.java
@@ -0,0 +1,121 @@
+package org.hemlockgw.core.program;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.budget.Budget;
+import org.hemlockgw.core.common.ProgramId;
+import org.hemlockgw.core.ledger.LedgerRecord.Dispatched;
+import org.hemlockgw.core.ledger.LedgerRecord.Outcome;
+import org.hemlockgw.core.ledger.LedgerRecord.ProgramRecord;
+
+/**
+ * Immutable state of one program.
+ *
+ * @param id the program
+ * @param state life-cycle state
+ * @param budget budget
+ * @param maxTurns limit on turns
+ * @param openedAt opening time
+ * @param expiresAt end of the wall-time limit
+ * @param lastActivity time of the last change
+ * @param history message history
+ * @param calls finished and running calls
+ * @param engine engine of the last turn, which may hold its cache
+ * @param engines every engine that served it and may hold its cache
+ */
+public record ProgramSnapshot(ProgramId id, ProgramState state, Budget budget, int maxTurns, Instant openedAt,
+		Instant expiresAt, Instant lastActivity, History history, CallLog calls, @Nullable String engine,
+		Set<String> engines) {
+
+	public ProgramSnapshot {
+		engines = Set.copyOf(engines);
+	}
+
+	public static ProgramSnapshot opened(OpenProgram command, Instant now) {
+		return new ProgramSnapshot(command.id(), ProgramState.RUNNING, Budget.open(command.budgetTokens()),
+				command.maxTurns(), now, now.plus(command.maxWallTime()), now, History.EMPTY, CallLog.EMPTY, null,
+				Set.of());
+	}
+
+	/**
+	 * Restores a program from the ledger after a take-over.
+	 * @param id the program
+	 * @param record its durable state; unsettled grants count as spent
+	 * @return the state
+	 */
+	public static ProgramSnapshot restored(ProgramId id, ProgramRecord record) {
+		Set<String> engines = new HashSet<>();
+		if (record.engine() != null) {
+			engines.add(record.engine());
+		}
+		for (Outcome outcome : record.outcomes()) {
+			for (Dispatched attempt : outcome.open()) {
+				engines.add(attempt.engine());
+			}
+		}
+		Budget budget = new Budget(record.budget(), record.granted(), record.settled(), 0);
+		return new ProgramSnapshot(id, record.state(), budget, record.maxTurns(), record.openedAt(), record.expiresAt(),
+				record.lastActivity(), History.restored(record.messages(), record.historyTokens(), record.turns()),
+				CallLog.restored(record.outcomes(), record.lastStep()), record.engine(), engines);
+	}
+
+	public ProgramRecord toRecord() {
+		return new ProgramRecord(this.budget.limit(), this.budget.granted(), this.budget.settled(), this.maxTurns,
+				this.openedAt, this.expiresAt, this.lastActivity, this.state, this.history.messages(),
+				this.history.tokens(), this.history.turns(), this.calls.lastStep(), this.engine,
+				List.copyOf(this.calls.outcomes().values()));
+	}
+
+	public ProgramView view() {
+		return new ProgramView(this.id, this.state, this.budget.limit(), this.budget.settled(), this.budget.reserved(),
+				this.history.turns(), this.calls.lastStep() + 1);
+	}
+
+	public boolean running() {
+		return this.state == ProgramState.RUNNING;
+	}
+
+	/**
+	 * Tells whether a repeated open command is the one that opened this program.
+	 * @param command the command
+	 * @return whether the parameters are the same
+	 */
+	public boolean openedBy(OpenProgram command) {
+		return this.budget.limit() == command.budgetTokens() && this.maxTurns == command.maxTurns()
+				&& Duration.between(this.openedAt, this.expiresAt).equals(command.maxWallTime());
+	}
+
+	public ProgramSnapshot with(Budget next) {
+		return new ProgramSnapshot(this.id, this.state, next, this.maxTurns, this.openedAt, this.expiresAt,
+				this.lastActivity, this.history, this.calls, this.engine, this.engines);
+	}
+
+	ProgramSnapshot with(CallLog next, Instant now) {
+		return new ProgramSnapshot(this.id, this.state, this.budget, this.maxTurns, this.openedAt, this.expiresAt, now,
+				this.history, next, this.engine, this.engines);
+	}
+
+	ProgramSnapshot with(History next, String lastEngine) {
+		return new ProgramSnapshot(this.id, this.state, this.budget, this.maxTurns, this.openedAt, this.expiresAt,
+				this.lastActivity, next, this.calls, lastEngine, this.engines);
+	}
+
+	ProgramSnapshot with(ProgramState next, Instant now) {
+		return new ProgramSnapshot(this.id, next, this.budget, this.maxTurns, this.openedAt, this.expiresAt, now,
+				this.history, this.calls, this.engine, this.engines);
+	}
+
+	ProgramSnapshot served(String by) {
+		Set<String> all = new HashSet<>(this.engines);
+		all.add(by);
+		return new ProgramSnapshot(this.id, this.state, this.budget, this.maxTurns, this.openedAt, this.expiresAt,
+				this.lastActivity, this.history, this.calls, this.engine, all);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/program/RequestDigest.java
@@ -0,0 +1,81 @@
+package org.hemlockgw.core.program;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+
+/**
+ * SHA-256 digests of requests and of their content. Every part is preceded by its length,
+ * so that parts cannot run into each other.
+ */
+public final class RequestDigest {
+
+	private final MessageDigest sha256;
+
+	private RequestDigest() {
+		try {
+			this.sha256 = MessageDigest.getInstance("SHA-256");
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("the Java platform has no SHA-256", ex);
+		}
+	}
+
+	/**
+	 * Returns the digest by which a key used for two different requests is detected.
+	 * @param request the request as sent
+	 * @return 64 hex digits
+	 */
+	public static String of(CallRequest request) {
+		RequestDigest digest = new RequestDigest();
+		digest.add(request.kind().name());
+		digest.add(request.target());
+		digest.add(request.idempotent() + " " + request.append() + " " + request.step() + " " + request.maxTokens());
+		digest.add(request.path());
+		digest.add(request.body());
+		digest.add(request.messages());
+		return digest.hex();
+	}
+
+	/**
+	 * Returns the digest by which content that crashes engines is recognised under any
+	 * identifier. It covers the messages after the last answer, which are the same
+	 * whether the caller sends the whole history or only new messages.
+	 * @param model model name
+	 * @param prompt the whole prompt
+	 * @return 64 hex digits
+	 */
+	public static String content(String model, List<Message> prompt) {
+		int from = prompt.size();
+		while (from > 0 && !prompt.get(from - 1).role().equals(History.ASSISTANT)) {
+			from--;
+		}
+		RequestDigest digest = new RequestDigest();
+		digest.add(model);
+		digest.add(prompt.subList(from, prompt.size()));
+		return digest.hex();
+	}
+
+	private void add(List<Message> messages) {
+		for (Message message : messages) {
+			add(message.role());
+			add(message.content());
+		}
+	}
+
+	private void add(String text) {
+		add(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private void add(byte[] bytes) {
+		this.sha256.update((bytes.length + ":").getBytes(StandardCharsets.US_ASCII));
+		this.sha256.update(bytes);
+	}
+
+	private String hex() {
+		return HexFormat.of().formatHex(this.sha256.digest());
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/retry/Suspects.java
@@ -0,0 +1,75 @@
+package org.hemlockgw.core.retry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Counts engine deaths by content digest. Thread-safe.
+ */
+public final class Suspects {
+
+	/** Engine deaths after which content is quarantined. */
+	public static final int DEATHS_TO_QUARANTINE = 2;
+
+	/** How long content stays quarantined, and how long a death is remembered. */
+	public static final Duration QUARANTINE = Duration.ofHours(1);
+
+	private static final int MAX_SUSPECTS = 4096;
+
+	private final Map<String, Suspect> suspects = new LinkedHashMap<>();
+
+	/**
+	 * Notes that an engine died under an attempt. Attempts with equal content that were
+	 * on the same engine when it died count as one death.
+	 * @param digest content digest
+	 * @param engine the engine
+	 * @param attemptStart when the attempt was sent
+	 * @param now time of the death
+	 * @return whether the content is to be quarantined
+	 */
+	public synchronized boolean died(String digest, String engine, Instant attemptStart, Instant now) {
+		Suspect before = this.suspects.remove(digest);
+		if (before == null || now.isAfter(before.lastDeath().plus(QUARANTINE))) {
+			evict();
+			this.suspects.put(digest, new Suspect(1, engine, now));
+			return false;
+		}
+		boolean same = before.engine().equals(engine) && !attemptStart.isAfter(before.lastDeath());
+		int deaths = same ? before.deaths() : before.deaths() + 1;
+		this.suspects.put(digest, new Suspect(deaths, engine, now));
+		return deaths >= DEATHS_TO_QUARANTINE;
+	}
+
+	public synchronized boolean suspect(String digest, Instant now) {
+		Suspect known = this.suspects.get(digest);
+		return known != null && !now.isAfter(known.lastDeath().plus(QUARANTINE));
+	}
+
+	/**
+	 * Tells whether content is quarantined by this daemon's own observations, before the
+	 * record on the control stream is read back.
+	 * @param digest content digest
+	 * @param now the time
+	 * @return whether it is quarantined
+	 */
+	public synchronized boolean quarantined(String digest, Instant now) {
+		Suspect known = this.suspects.get(digest);
+		return known != null && known.deaths() >= DEATHS_TO_QUARANTINE
+				&& !now.isAfter(known.lastDeath().plus(QUARANTINE));
+	}
+
+	private void evict() {
+		Iterator<String> oldest = this.suspects.keySet().iterator();
+		if (this.suspects.size() >= MAX_SUSPECTS && oldest.hasNext()) {
+			oldest.next();
+			oldest.remove();
+		}
+	}
+
+	private record Suspect(int deaths, String engine, Instant lastDeath) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/retry/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Rules for retries and for content that crashes engines.
+ */
+@NullMarked
+package org.hemlockgw.core.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
@@ -0,0 +1,196 @@
+package org.hemlockgw.daemon.owner;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.common.CallFailure;
+import org.hemlockgw.core.common.ErrorCode;
+import org.hemlockgw.core.common.ProgramId;
+import org.hemlockgw.core.common.Verdict;
+import org.hemlockgw.core.config.ClientAccount;
+import org.hemlockgw.core.config.Limits;
+import org.hemlockgw.core.ledger.LedgerRecord;
+import org.hemlockgw.core.program.OpenProgram;
+import org.hemlockgw.core.program.ProgramSnapshot;
+import org.hemlockgw.core.program.ProgramState;
+import org.hemlockgw.core.program.ProgramTransitions;
+import org.hemlockgw.core.program.ProgramView;
+import org.hemlockgw.core.program.Transition;
+
+/**
+ * Opens and ends programs. Methods whose name ends in {@code Locked} are called under the
+ * lock of the shard.
+ */
+final class ProgramLifecycle {
+
+	/** Above this fill of the ledger's buffer, new programs are refused. */
+	private static final double MAX_FILL_FOR_NEW = 0.5;
+
+	private static final Duration LOG_RETRY_AFTER = Duration.ofSeconds(2);
+
+	/** Ended programs answer repeats of their calls for this long. */
+	private static final Duration ENDED_RETENTION = Duration.ofMinutes(10);
+
+	private final OwnerContext context;
+
+	private final LedgerWriter writer;
+
+	private final CallQueue queue;
+
+	ProgramLifecycle(OwnerContext context, LedgerWriter writer, CallQueue queue) {
+		this.context = context;
+		this.writer = writer;
+		this.queue = queue;
+	}
+
+	// Opens a program.
+	// accountPrograms: programs of the account that are under way.
+	CompletableFuture<ProgramView> openLocked(ShardSlot slot, OpenProgram command, long accountPrograms) {
+		ProgramCell existing = slot.programs().get(command.id());
+		if (existing != null) {
+			if (!existing.state().openedBy(command)) {
+				throw CallFailure.notRun(ErrorCode.IDEMPOTENCY_CONFLICT,
+						"program '" + command.id().name() + "' was opened with other parameters");
+			}
+			return view(existing, existing.opened());
+		}
+		requireRoom(command, accountPrograms);
+		ProgramCell parent = parent(slot, command.id());
+		ProgramSnapshot before = (parent != null) ? parent.state() : null;
+		ProgramTransitions.Opening opening = ProgramTransitions.open(command, before, this.context.now());
+		ProgramCell cell = new ProgramCell(slot, opening.opened(), 0);
+		slot.programs().put(command.id(), cell);
+		if (parent != null && opening.parent() != null) {
+			parent.state(opening.parent());
+		}
+		ProgramCell writerCell = (parent != null) ? parent : cell;
+		CompletableFuture<Void> append = this.writer.append(writerCell, (before != null) ? before : opening.opened(),
+				opening.records());
+		cell.opened(append);
+		this.context.count("programs.opened");
+		return view(cell, append);
+	}
+
+	private void requireRoom(OpenProgram command, long accountPrograms) {
+		ClientAccount account = this.context.configuration().clientAccounts().get(command.id().account());
+		if (account == null) {
+			throw CallFailure.notRun(ErrorCode.NOT_FOUND, "client account '" + command.id().account() + "' is unknown");
+		}
+		ProgramTransitions.check(command, account, this.context.configuration().limits());
+		if (accountPrograms >= account.maxPrograms()) {
+			throw CallFailure.notRun(ErrorCode.LIMIT_REACHED, "client account '" + account.name()
+					+ "' may have at most " + account.maxPrograms() + " programs under way");
+		}
+		double fill = this.context.ledger().bufferFill();
+		if (fill > MAX_FILL_FOR_NEW) {
+			throw new CallFailure(ErrorCode.LOG_UNAVAILABLE, Verdict.NOT_RUN,
+					"no new programs while more than half of the buffer of log records is used", LOG_RETRY_AFTER);
+		}
+	}
+
+	private static @Nullable ProgramCell parent(ShardSlot slot, ProgramId id) {
+		ProgramId parentId = ProgramTransitions.parent(id);
+		if (parentId == null) {
+			return null;
+		}
+		ProgramCell parent = slot.programs().get(parentId);
+		if (parent == null) {
+			throw CallFailure.notRun(ErrorCode.NOT_FOUND, "parent program '" + parentId.name() + "' is unknown");
+		}
+		return parent;
+	}
+
+	// Ends a program and its children.
+	CompletableFuture<ProgramView> endLocked(ProgramCell cell, ProgramState to) {
+		if (!cell.state().running()) {
+			return view(cell, CompletableFuture.completedFuture(null));
+		}
+		CompletableFuture<Void> last = CompletableFuture.completedFuture(null);
+		for (ProgramCell each : tree(cell)) {
+			last = endOneLocked(each, to);
+		}
+		return view(cell, last);
+	}
+
+	private CompletableFuture<Void> endOneLocked(ProgramCell cell, ProgramState to) {
+		cancelCallsLocked(cell, ErrorCode.PROGRAM_ENDED, "the program was ended");
+		ProgramSnapshot before = cell.state();
+		Transition ended = ProgramTransitions.end(before, to, this.context.now());
+		cell.state(ended.state());
+		List<LedgerRecord.OfProgram> records = new ArrayList<>(ended.records());
+		ProgramId parentId = ProgramTransitions.parent(cell.id());
+		ProgramCell parent = (parentId != null) ? cell.slot().programs().get(parentId) : null;
+		if (parent != null && parent.state().running()) {
+			Transition refund = ProgramTransitions.refund(parent.state(), ended.state());
+			parent.state(refund.state());
+			records.addAll(refund.records());
+		}
+		CompletableFuture<Void> append = this.writer.append(cell, before, records);
+		this.context.count("programs.ended");
+		ended.state().engines().forEach((engine) -> this.context.dispatcher().release(engine, cell.id()));
+		return append;
+	}
+
+	// Cancels the calls of a program, the waiting ones first so that none is admitted.
+	void cancelCallsLocked(ProgramCell cell, ErrorCode code, String message) {
+		List<LiveCall> waiting = List.copyOf(cell.waiting());
+		cell.waiting().clear();
+		for (LiveCall call : waiting) {
+			this.queue.cancelLocked(cell, call, code, message);
+		}
+		LiveCall running = cell.running();
+		if (running != null) {
+			ErrorCode cause = (code == ErrorCode.PROGRAM_ENDED) ? ErrorCode.CANCELLED : code;
+			this.queue.cancelLocked(cell, running, cause, message);
+		}
+	}
+
+	// The program and its live descendants, deepest first.
+	private static List<ProgramCell> tree(ProgramCell cell) {
+		String prefix = cell.id().name() + ".";
+		List<ProgramCell> cells = new ArrayList<>(cell.slot()
+			.programs()
+			.values()
+			.stream()
+			.filter((other) -> other.id().account().equals(cell.id().account()) && other.id().name().startsWith(prefix)
+					&& other.state().running())
+			.sorted(Comparator.comparingInt((ProgramCell other) -> other.id().depth()).reversed())
+			.toList());
+		cells.add(cell);
+		return cells;
+	}
+
+	// Ends expired and idle programs and forgets programs that ended long ago.
+	void sweepLocked(ShardSlot slot) {
+		Instant now = this.context.now();
+		Limits limits = this.context.configuration().limits();
+		Collection<ProgramCell> cells = List.copyOf(slot.programs().values());
+		for (ProgramCell cell : cells) {
+			ProgramSnapshot state = cell.state();
+			if (!state.running()) {
+				if (now.isAfter(state.lastActivity().plus(ENDED_RETENTION))) {
+					slot.programs().remove(cell.id());
+				}
+				continue;
+			}
+			boolean idle = cell.live().isEmpty() && tree(cell).size() == 1
+					&& ProgramTransitions.idle(state, limits.idleTimeout(), now);
+			if (idle || !now.isBefore(state.expiresAt())) {
+				endLocked(cell, ProgramState.EXPIRED);
+				this.context.count("programs.expired");
+			}
+		}
+	}
+
+	private CompletableFuture<ProgramView> view(ProgramCell cell, CompletableFuture<Void> append) {
+		return this.context.durability().settled(append).thenApply((durable) -> cell.state().view());
+	}
+
+}
