--- /dev/null
+++ b/core/src/test/java/org/hemlockgw/core/budget/BudgetTests.java
@@ -0,0 +1,80 @@
+package org.hemlockgw.core.budget;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Random;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import org.hemlockgw.core.common.CallFailure;
+import org.hemlockgw.core.common.ErrorCode;
+import org.hemlockgw.core.common.Verdict;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class BudgetTests {
+
+	// Guards against spending beyond the budget, or beyond a grant that a successor sees.
+	@Property(seed = "41", tries = 300)
+	void spendingStaysWithinGrantAndLimit(@ForAll long seed, @ForAll @IntRange(min = 1, max = 200_000) int limit) {
+		Random random = new Random(seed);
+		Budget budget = Budget.open(limit);
+		Deque<Long> open = new ArrayDeque<>();
+		long children = 0;
+		for (int i = 0; i < 60; i++) {
+			long amount = random.nextInt(limit / 4 + 2);
+			try {
+				switch (random.nextInt(4)) {
+					case 0 -> {
+						budget = budget.reserve(amount);
+						open.add(amount);
+					}
+					case 1 -> {
+						Long reserved = open.poll();
+						budget = (reserved != null)
+								? budget.settle(reserved, random.nextBoolean() ? reserved : reserved / 2) : budget;
+					}
+					case 2 -> {
+						budget = budget.carve(amount);
+						children += amount;
+					}
+					default -> {
+						long back = (long) (children * random.nextDouble());
+						budget = budget.giveBack(back);
+						children -= back;
+					}
+				}
+			}
+			catch (CallFailure ex) {
+				assertThat(ex.code()).isEqualTo(ErrorCode.BUDGET_EXHAUSTED);
+				assertThat(ex.verdict()).isEqualTo(Verdict.NOT_RUN);
+				assertThat(amount).isGreaterThan(budget.remaining());
+			}
+			assertThat(budget.committed()).isAtMost(budget.granted());
+			assertThat(budget.granted()).isAtMost(limit);
+			assertThat(budget.settled()).isAtLeast(children);
+		}
+	}
+
+	// Guards against spending from a grant that a successor may see cut off or lowered.
+	@Example
+	void onlyDurableAndNotLoweredGrantsCover() {
+		GrantTracker grants = new GrantTracker(0);
+		long raise = grants.pending(100);
+		assertThat(grants.covers(50)).isFalse();
+		grants.durable(raise);
+		assertThat(grants.covers(100)).isTrue();
+		long lower = grants.pending(60);
+		long again = grants.pending(90);
+		assertThat(grants.covers(90)).isFalse();
+		grants.durable(lower);
+		assertThat(grants.covers(60)).isTrue();
+		assertThat(grants.covers(90)).isFalse();
+		grants.durable(again);
+		assertThat(grants.covers(90)).isTrue();
+	}
+
+}
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/AnswerStream.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/AnswerStream.java
@@ -37,8 +37,8 @@
 		this.sinks.add(sink);
 	}
 
-	// Makes an attempt the only source of further events.
-	// Result: what the attempt has to continue.
+	// Makes an attempt the only source of further events and returns what it has to
+	// continue.
 	synchronized Prefix begin(Object attempt) {
 		this.source = attempt;
 		this.early.clear();
@@ -65,10 +65,8 @@
 	}
 
 	// Ends an attempt that succeeded and delivers the part for which no event arrived.
-	// generated: text that the attempt generated.
-	// tokens: tokens that the attempt generated.
-	// Result: the whole answer, or {@code null} when the attempt is no longer the source.
-	// or its text contradicts what was delivered
+	// Returns the whole answer, or null when the attempt is no longer the source or its
+	// text contradicts what was delivered.
 	synchronized @Nullable String finish(Object attempt, String generated, long tokens) {
 		if (attempt != this.source) {
 			return null;
@@ -85,6 +83,10 @@
 		return whole;
 	}
 
+	synchronized long tokens() {
+		return this.next;
+	}
+
 	// Ignores all further events.
 	synchronized void close() {
 		this.source = null;
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 
 import org.jspecify.annotations.Nullable;
 
@@ -78,6 +79,7 @@
 			return;
 		}
 		this.context.count("calls.admitted");
+		this.context.note(call, "admitted", "step " + call.request().step() + " is due and its reservation is covered");
 		this.context.executor().execute(() -> this.starter.start(cell, call, append));
 	}
 
@@ -92,9 +94,9 @@
 		}
 	}
 
-	// Ends a call that failed, and admits the next one.
-	// failure: failure of the last attempt, or why there is none.
-	// charge: whether the last attempt may have used tokens.
+	// Ends a call that failed, and admits the next one. The reservation is charged when
+	// the
+	// last attempt may have used tokens.
 	void failLocked(ProgramCell cell, LiveCall call, CallFailure failure, boolean charge) {
 		if (call.phase() == LiveCall.Phase.DONE) {
 			return;
@@ -163,18 +165,19 @@
 
 	private void watchDeadline(ProgramCell cell, LiveCall call) {
 		Duration left = Duration.between(this.context.now(), call.deadline());
+		AtomicReference<@Nullable LiveCall> handle = call.handle();
 		this.context.after(left, () -> {
 			synchronized (cell.slot()) {
-				expireLocked(cell, call);
+				LiveCall open = handle.get();
+				if (open != null && !open.finished()) {
+					expireLocked(cell, open);
+				}
 			}
 		});
 	}
 
 	private void expireLocked(ProgramCell cell, LiveCall call) {
 		Instant now = this.context.now();
-		if (call.phase() == LiveCall.Phase.DONE || call.finished()) {
-			return;
-		}
 		if (now.isBefore(call.deadline())) {
 			watchDeadline(cell, call);
 			return;
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/Durability.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/Durability.java
@@ -21,11 +21,9 @@
 		this.ledger = ledger;
 	}
 
-	// Waits for an append whose effect already took place.
-	// append: the append.
-	// Result: true when the records are durable, false when the log is unavailable;
-	// fails.
-	// with {@code NOT_OWNER} when the records are void
+	// Waits for an append whose effect already took place. The result is true when the
+	// records are durable and false when the log is unavailable; it fails with NOT_OWNER
+	// when the records are void.
 	CompletableFuture<Boolean> settled(CompletableFuture<Void> append) {
 		CompletableFuture<Boolean> settled = new CompletableFuture<>();
 		this.waiting.add(settled);
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/IntentWait.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/IntentWait.java
@@ -18,9 +18,8 @@
 	private IntentWait() {
 	}
 
-	// Waits for an append.
-	// Result: completes on the executor when the records are durable; fails with verdict.
-	// {@code NOT_RUN} when they are void, refused or late
+	// Completes on the executor when the records are durable, and fails with verdict
+	// NOT_RUN when they are void, refused or late.
 	static CompletableFuture<Void> durable(OwnerContext context, CompletableFuture<Void> append) {
 		CompletableFuture<Void> wait = new CompletableFuture<>();
 		append.whenCompleteAsync((done, error) -> {
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/LedgerWriter.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/LedgerWriter.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
+import org.jspecify.annotations.Nullable;
+
 import org.hemlockgw.core.common.CallFailure;
 import org.hemlockgw.core.common.ErrorCode;
 import org.hemlockgw.core.ledger.Ledger;
@@ -13,7 +15,8 @@
 
 /**
  * Applies transitions and gives their records to the ledger in the same order. All
- * methods are called under the lock of the shard.
+ * methods are called under the lock of the shard. The futures complete when the records
+ * are durable.
  */
 final class LedgerWriter {
 
@@ -23,38 +26,39 @@
 		this.ledger = ledger;
 	}
 
-	// Applies a transition.
-	// Result: completes when its records are durable.
 	CompletableFuture<Void> apply(ProgramCell cell, Transition transition) {
-		ProgramSnapshot before = cell.state();
-		cell.state(transition.state());
-		if (transition.records().isEmpty()) {
-			return CompletableFuture.completedFuture(null);
-		}
-		return append(cell, before, transition.records());
+		Change change = new Change(cell, cell.state(), transition.state());
+		return apply(List.of(change), transition.records());
 	}
 
-	// Appends records of one program and, in the same batch, of its children.
-	// before: its state before the records.
-	CompletableFuture<Void> append(ProgramCell cell, ProgramSnapshot before, List<LedgerRecord.OfProgram> records) {
-		List<LedgerRecord.OfProgram> batch = new ArrayList<>();
-		if (cell.checkpointDue()) {
-			batch.add(new LedgerRecord.Checkpoint(before.id(), before.toRecord()));
-			cell.checkpointDue(false);
+	// Changes several programs of one tree with one batch.
+	CompletableFuture<Void> apply(List<Change> changes, List<LedgerRecord.OfProgram> records) {
+		changes.forEach((change) -> change.cell().state(change.after()));
+		if (records.isEmpty()) {
+			return CompletableFuture.completedFuture(null);
 		}
+		List<LedgerRecord.OfProgram> batch = new ArrayList<>();
+		changes.forEach((change) -> addCheckpoint(change, batch));
 		batch.addAll(records);
-		CompletableFuture<Void> append = submit(batch);
-		for (LedgerRecord.OfProgram record : batch) {
-			trackGrant(cell, record, append);
-		}
-		append.whenComplete((done, error) -> {
+		CompletableFuture<Void> append = submit(batch).whenComplete((done, error) -> {
 			if (error != null && CallFailure.of(error).code() != ErrorCode.NOT_OWNER) {
-				lost(cell);
+				lost(changes);
 			}
 		});
+		for (LedgerRecord.OfProgram record : batch) {
+			trackGrant(changes, record, append);
+		}
 		return append;
 	}
 
+	private static void addCheckpoint(Change change, List<LedgerRecord.OfProgram> batch) {
+		ProgramSnapshot before = change.before();
+		if (before != null && change.cell().checkpointDue()) {
+			batch.add(new LedgerRecord.Checkpoint(before.id(), before.toRecord()));
+			change.cell().checkpointDue(false);
+		}
+	}
+
 	private CompletableFuture<Void> submit(List<LedgerRecord.OfProgram> batch) {
 		try {
 			return this.ledger.append(batch);
@@ -64,40 +68,50 @@
 		}
 	}
 
-	private void trackGrant(ProgramCell cell, LedgerRecord.OfProgram record, CompletableFuture<Void> append) {
-		long granted;
-		if (record instanceof LedgerRecord.Granted grant) {
-			granted = grant.granted();
-		}
-		else if (record instanceof LedgerRecord.Opened opened) {
-			granted = opened.granted();
-		}
-		else if (record instanceof LedgerRecord.Checkpoint checkpoint) {
-			granted = checkpoint.state().granted();
+	private static void trackGrant(List<Change> changes, LedgerRecord.OfProgram record,
+			CompletableFuture<Void> append) {
+		long granted = granted(record);
+		for (Change change : changes) {
+			ProgramCell cell = change.cell();
+			if (granted < 0 || !cell.id().equals(record.program())) {
+				continue;
+			}
+			long number = cell.grants().pending(granted);
+			cell.lastGrant(append.thenRun(() -> {
+				synchronized (cell.slot()) {
+					cell.grants().durable(number);
+				}
+			}));
 		}
-		else {
-			return;
+	}
+
+	private static long granted(LedgerRecord.OfProgram record) {
+		if (record instanceof LedgerRecord.Granted grant) {
+			return grant.granted();
 		}
-		ProgramCell target = cell.slot().programs().get(record.program());
-		if (target == null) {
-			return;
+		if (record instanceof LedgerRecord.Opened opened) {
+			return opened.granted();
 		}
-		long number = target.grants().pending(granted);
-		target.lastGrant(append);
-		append.whenComplete((done, error) -> {
-			if (error == null) {
-				synchronized (cell.slot()) {
-					target.grants().durable(number);
-				}
-			}
-		});
+		return (record instanceof LedgerRecord.Checkpoint checkpoint) ? checkpoint.state().granted() : -1;
 	}
 
 	// The records are missing from the ledger, so the next batch starts with the state.
-	private void lost(ProgramCell cell) {
-		synchronized (cell.slot()) {
-			cell.checkpointDue(true);
+	private static void lost(List<Change> changes) {
+		for (Change change : changes) {
+			synchronized (change.cell().slot()) {
+				change.cell().checkpointDue(true);
+			}
 		}
 	}
 
+	/**
+	 * Change of one program.
+	 *
+	 * @param cell the program
+	 * @param before its state before, or {@code null} for a new program
+	 * @param after its new state
+	 */
+	record Change(ProgramCell cell, @Nullable ProgramSnapshot before, ProgramSnapshot after) {
+	}
+
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/LiveCall.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/LiveCall.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.opentelemetry.api.trace.Span;
 import org.jspecify.annotations.Nullable;
@@ -26,12 +27,16 @@
 
 	private final CompletableFuture<CallResult> done = new CompletableFuture<>();
 
+	private final AtomicReference<@Nullable LiveCall> handle = new AtomicReference<>(this);
+
 	private Phase phase = Phase.WAITING;
 
 	private boolean mayHaveRun;
 
 	private Instant deadline;
 
+	private Instant latest = Instant.MAX;
+
 	private boolean finished;
 
 	private @Nullable Runnable onCancel;
@@ -66,7 +71,7 @@
 	// Attaches a caller that repeats the request.
 	CompletableFuture<CallResult> attach(EventSink sink, Instant until) {
 		if (until.isAfter(this.deadline)) {
-			this.deadline = until;
+			this.deadline = until.isBefore(this.latest) ? until : this.latest;
 		}
 		this.answer.attach(sink);
 		return this.done.copy();
@@ -78,18 +83,27 @@
 
 	void phase(Phase next) {
 		this.phase = next;
+		if (next == Phase.DONE) {
+			this.handle.set(null);
+		}
 	}
 
 	Instant deadline() {
 		return this.deadline;
 	}
 
-	void limitDeadline(Instant latest) {
-		if (latest.isBefore(this.deadline)) {
-			this.deadline = latest;
+	void limitDeadline(Instant limit) {
+		this.latest = limit;
+		if (limit.isBefore(this.deadline)) {
+			this.deadline = limit;
 		}
 	}
 
+	// For timers, which outlive the call and must not keep its messages in memory.
+	AtomicReference<@Nullable LiveCall> handle() {
+		return this.handle;
+	}
+
 	// Whether a finished attempt may have had an effect.
 	boolean mayHaveRun() {
 		return this.mayHaveRun;
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
@@ -1,7 +1,6 @@
 package org.hemlockgw.daemon.owner;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -18,10 +16,10 @@
 import org.hemlockgw.core.common.CallFailure;
 import org.hemlockgw.core.common.ErrorCode;
 import org.hemlockgw.core.common.Verdict;
-import org.hemlockgw.core.control.ControlRecord;
 import org.hemlockgw.core.dispatch.DispatchRequest;
 import org.hemlockgw.core.dispatch.DispatchResult;
 import org.hemlockgw.core.dispatch.EngineChoice;
+import org.hemlockgw.core.dispatch.EngineLoad;
 import org.hemlockgw.core.dispatch.EngineQuery;
 import org.hemlockgw.core.ledger.LedgerRecord.Dispatched;
 import org.hemlockgw.core.program.CallResult;
@@ -31,9 +29,9 @@
 import org.hemlockgw.core.program.RequestDigest;
 import org.hemlockgw.core.program.RunningCall;
 import org.hemlockgw.core.program.Transition;
+import org.hemlockgw.core.program.Usage;
 import org.hemlockgw.core.retry.Backoff;
 import org.hemlockgw.core.retry.RetryRules;
-import org.hemlockgw.core.retry.Suspects;
 import org.hemlockgw.daemon.trace.Tracing;
 
 /**
@@ -60,10 +58,10 @@
 
 	private final List<Message> prompt;
 
-	private final String contentDigest;
-
 	private final long promptTokens;
 
+	private final CrashGuard crashes;
+
 	private final Set<String> excluded = new HashSet<>();
 
 	private int retries;
@@ -78,52 +76,45 @@
 		this.cell = cell;
 		this.call = call;
 		ProgramSnapshot state = cell.state();
-		this.prompt = new ArrayList<>(state.history().messages());
-		this.prompt.addAll(admitted.newMessages());
-		this.contentDigest = RequestDigest.content(call.request().target(), this.prompt);
+		List<Message> all = new ArrayList<>(state.history().messages());
+		all.addAll(admitted.newMessages());
+		this.prompt = List.copyOf(all);
 		this.promptTokens = state.history().tokens()
 				+ admitted.newMessages().stream().mapToLong((message) -> message.content().length()).sum()
 						/ BYTES_PER_TOKEN;
+		this.crashes = new CrashGuard(context, RequestDigest.content(call.request().target(), this.prompt));
 	}
 
 	void start() {
-		if (quarantined()) {
-			fail(CallFailure.notRun(ErrorCode.QUARANTINED, "requests with this content have crashed engines"), false);
-			return;
-		}
-		this.context.retries().firstAttempt();
-		attemptWhenGranted();
-	}
-
-	private boolean quarantined() {
-		Instant now = this.context.now();
-		ControlRecord.Quarantine record = this.context.blackboard()
-			.control()
-			.get()
-			.quarantined()
-			.get(this.contentDigest);
-		return (record != null && now.isBefore(record.until()))
-				|| this.context.suspects().quarantined(this.contentDigest, now);
+		guarded(() -> {
+			if (this.crashes.quarantined()) {
+				fail(CallFailure.notRun(ErrorCode.QUARANTINED, "requests with this content have crashed engines"),
+						false);
+				return;
+			}
+			this.context.retries().firstAttempt();
+			attemptWhenGranted();
+		});
 	}
 
 	// Spending more than the durable grant would let a successor spend the same tokens.
 	private void attemptWhenGranted() {
 		CompletableFuture<Void> grant;
 		synchronized (this.cell.slot()) {
-			if (this.cell.grants().covers(this.cell.state().budget().committed())) {
-				grant = CompletableFuture.completedFuture(null);
-			}
-			else {
-				grant = this.cell.lastGrant();
-			}
+			grant = this.cell.grants().covers(this.cell.state().budget().committed()) ? null : this.cell.lastGrant();
 		}
-		IntentWait.durable(this.context, grant).whenComplete((done, error) -> {
+		if (grant == null) {
+			attempt();
+			return;
+		}
+		IntentWait.durable(this.context, grant).whenComplete((done, error) -> guarded(() -> {
 			if (error != null) {
 				fail(CallFailure.of(error), false);
 				return;
 			}
-			attempt();
-		});
+			// A later grant may be on its way by now.
+			attemptWhenGranted();
+		}));
 	}
 
 	private void attempt() {
@@ -134,147 +125,200 @@
 			return;
 		}
 		String engine = choice.get().engine();
-		Attempt attempt = new Attempt(UUID.randomUUID().toString(), engine, this.context.now());
+		Attempt attempt;
 		DispatchRequest request;
 		synchronized (this.cell.slot()) {
 			if (this.call.phase() != LiveCall.Phase.ADMITTED) {
 				return;
 			}
+			attempt = new Attempt(engine, this.context.now(), this.call.deadline());
 			AnswerStream.Prefix prefix = this.call.answer().begin(attempt);
-			request = request(attempt, prefix, choice.get().estimatedCachedTokens());
 			this.call.phase(LiveCall.Phase.SENT);
-			this.call.onCancel(() -> this.context.dispatcher().cancel(engine, attempt.id()));
-			Dispatched record = new Dispatched(this.cell.id(), this.call.request().requestId(), attempt.id(), engine,
+			if (prefix.tokens() >= this.call.request().maxTokens()) {
+				completeFromPrefixLocked(attempt, prefix);
+				return;
+			}
+			request = request(attempt, prefix, choice.get().estimatedCachedTokens());
+			String attemptId = attempt.id();
+			this.call.onCancel(() -> this.context.dispatcher().cancel(engine, attemptId));
+			Dispatched record = new Dispatched(this.cell.id(), this.call.request().requestId(), attemptId, engine,
 					prefix.tokens());
 			this.writer.apply(this.cell, CallTransitions.dispatched(this.cell.state(), record));
 		}
-		this.context.note(this.call, "engine_chosen", choice.get().reason());
+		this.context.note(this.call, "engine_chosen", engine + ": " + choice.get().reason());
 		send(request, attempt);
 	}
 
 	private Optional<EngineChoice> choose() {
-		ProgramSnapshot state = this.cell.state();
-		EngineQuery query = new EngineQuery(state.id(), this.call.request().target(), this.promptTokens, state.engine(),
-				state.history().tokens(), Set.copyOf(this.excluded));
-		Optional<EngineChoice> choice = this.context.chooser().choose(query);
+		Optional<EngineChoice> choice = choose(Set.copyOf(this.excluded));
 		if (choice.isPresent() || this.excluded.isEmpty()) {
 			return choice;
 		}
 		// Every other engine failed too; any of them may work again.
 		this.excluded.clear();
+		return choose(Set.of());
+	}
+
+	private Optional<EngineChoice> choose(Set<String> without) {
+		ProgramSnapshot state = this.cell.state();
 		return this.context.chooser()
-			.choose(new EngineQuery(state.id(), query.model(), query.promptTokens(), query.lastEngine(),
-					query.lastPromptTokens(), Set.of()));
+			.choose(new EngineQuery(state.id(), this.call.request().target(), this.promptTokens, state.engine(),
+					state.history().tokens(), without));
 	}
 
 	private DispatchRequest request(Attempt attempt, AnswerStream.Prefix prefix, long cachedTokens) {
 		return new DispatchRequest(this.cell.id(), attempt.id(), attempt.engine(), this.call.request().target(),
-				List.copyOf(this.prompt), prefix.text(), prefix.tokens(), this.call.request().maxTokens(),
-				this.cell.state().budget().settled(), this.promptTokens, cachedTokens,
-				this.context.suspects().suspect(this.contentDigest, attempt.startedAt()), this.call.deadline(),
-				Tracing.traceparent(this.call.span()));
+				this.prompt, prefix.text(), prefix.tokens(), this.call.request().maxTokens(),
+				this.cell.state().budget().settled(), this.promptTokens, cachedTokens, this.crashes.suspect(),
+				this.call.deadline(), Tracing.traceparent(this.call.span()));
+	}
+
+	// The engine died after the last token, so that nothing is left to generate. Its
+	// usage
+	// is unknown and charged in full.
+	private void completeFromPrefixLocked(Attempt attempt, AnswerStream.Prefix prefix) {
+		RunningCall admitted = this.cell.state().calls().running();
+		long reserved = (admitted != null) ? admitted.reserved() : 0;
+		Usage usage = new Usage(reserved - prefix.tokens(), 0, prefix.tokens());
+		this.call.answer().finish(attempt, "", 0);
+		finishLocked(attempt.engine(), prefix.text(), usage, "length");
 	}
 
 	private void send(DispatchRequest request, Attempt attempt) {
 		CompletableFuture<DispatchResult> sent;
 		try {
-			sent = this.context.dispatcher().dispatch(request, (event) -> this.call.answer().offer(attempt, event));
+			sent = this.context.dispatcher()
+				.dispatch(request, (event) -> attempt.received(this.call.answer(), event, this.context.now()));
 		}
 		catch (RuntimeException ex) {
 			sent = CompletableFuture.failedFuture(ex);
 		}
-		sent.whenCompleteAsync((result, error) -> {
+		sent.whenCompleteAsync((result, error) -> guarded(() -> {
+			if (!attempt.end()) {
+				return;
+			}
 			if (error != null) {
 				failed(attempt, CallFailure.of(error));
 				return;
 			}
 			succeeded(attempt, result);
-		}, this.context.executor());
+		}), this.context.executor());
+		watchStall(attempt);
+	}
+
+	private void watchStall(Attempt attempt) {
+		Duration left = Duration.between(this.context.now(), attempt.stalledAt());
+		this.context.after(left, () -> guarded(() -> {
+			if (attempt.ended()) {
+				return;
+			}
+			if (this.context.now().isBefore(attempt.stalledAt())) {
+				watchStall(attempt);
+				return;
+			}
+			if (attempt.end()) {
+				this.context.dispatcher().cancel(attempt.engine(), attempt.id());
+				failed(attempt, CallFailure.mayHaveRun(ErrorCode.BACKEND_UNAVAILABLE,
+						"the dispatcher of " + attempt.engine() + " sent nothing for too long"));
+			}
+		}));
 	}
 
 	private void succeeded(Attempt attempt, DispatchResult result) {
-		updateLoad(result);
+		updateLoad(result.load());
 		String text = this.call.answer().finish(attempt, result.text(), result.usage().completionTokens());
 		if (text == null) {
 			failed(attempt, CallFailure.mayHaveRun(ErrorCode.INTERNAL, "the answer differs from its events"));
 			return;
 		}
 		synchronized (this.cell.slot()) {
-			RunningCall admitted = this.cell.state().calls().running();
-			if (this.call.phase() != LiveCall.Phase.SENT || admitted == null) {
-				return;
+			if (this.call.phase() == LiveCall.Phase.SENT) {
+				finishLocked(attempt.engine(), text, wholeAnswer(result.usage()), result.finishReason());
 			}
-			this.call.setFinished();
-			CallResult answer = new CallResult(text, result.usage(), result.finishReason(), 200, new byte[0],
-					this.cell.state().history().turns() + 1);
-			Transition finished = CallTransitions.finishTurn(this.cell.state(), admitted, answer, attempt.engine(),
-					this.context.now());
-			this.cell.running(null);
-			CompletableFuture<Void> append = this.writer.apply(this.cell, finished);
-			ResultRelease.whenDurable(this.context, this.queue, this.cell, this.call, answer, append);
-			this.queue.pumpLocked(this.cell);
 		}
 	}
 
-	private void updateLoad(DispatchResult result) {
+	// An engine that continued an answer counts the first part as prompt. The sum, which
+	// is
+	// charged, stays the same.
+	private Usage wholeAnswer(Usage usage) {
+		long missing = this.call.answer().tokens() - usage.completionTokens();
+		if (missing <= 0 || missing > usage.promptTokens()) {
+			return usage;
+		}
+		return new Usage(usage.promptTokens() - missing, usage.cachedTokens(), usage.completionTokens() + missing);
+	}
+
+	private void finishLocked(String engine, String text, Usage usage, String finishReason) {
+		RunningCall admitted = this.cell.state().calls().running();
+		if (admitted == null || this.cell.running() != this.call) {
+			return;
+		}
+		this.call.setFinished();
+		CallResult answer = new CallResult(text, usage, finishReason, 200, new byte[0],
+				this.cell.state().history().turns() + 1);
+		Transition finished = CallTransitions.finishTurn(this.cell.state(), admitted, answer, engine,
+				this.context.now());
+		this.cell.running(null);
+		CompletableFuture<Void> append = this.writer.apply(this.cell, finished);
+		ResultRelease.whenDurable(this.context, this.queue, this.cell, this.call, answer, append);
+		this.queue.pumpLocked(this.cell);
+	}
+
+	private void updateLoad(EngineLoad load) {
 		this.context.blackboard().engineLoads().update((loads) -> {
-			var known = loads.get(result.load().engine());
-			if (known != null && !known.at().isBefore(result.load().at())) {
+			EngineLoad known = loads.get(load.engine());
+			if (known != null && !known.at().isBefore(load.at())) {
 				return loads;
 			}
-			var next = new HashMap<>(loads);
-			next.put(result.load().engine(), result.load());
+			Map<String, EngineLoad> next = new HashMap<>(loads);
+			next.put(load.engine(), load);
 			return Map.copyOf(next);
 		});
 	}
 
 	private void failed(@Nullable Attempt attempt, CallFailure failure) {
 		boolean ran = failure.verdict() != Verdict.NOT_RUN;
-		if (attempt != null && ran && failure.code() == ErrorCode.BACKEND_FAILED && isCrash(attempt)) {
-			return;
-		}
 		if (attempt != null) {
 			this.excluded.add(attempt.engine());
+			if (ran && failure.code() == ErrorCode.BACKEND_FAILED && this.crashes.died(attempt)) {
+				fail(CallFailure.mayHaveRun(ErrorCode.QUARANTINED, "two engines died under this content"), true);
+				return;
+			}
 		}
 		if (!mayRetry(failure)) {
 			fail(failure, ran);
 			return;
 		}
 		synchronized (this.cell.slot()) {
-			RunningCall admitted = this.cell.state().calls().running();
-			if (this.call.phase() == LiveCall.Phase.DONE || admitted == null) {
+			if (!prepareRetryLocked(ran)) {
 				return;
 			}
-			this.call.phase(LiveCall.Phase.ADMITTED);
-			if (ran) {
-				this.call.setMayHaveRun();
-				try {
-					this.writer.apply(this.cell, CallTransitions.nextAttempt(this.cell.state(), admitted));
-				}
-				catch (CallFailure ex) {
-					this.queue.failLocked(this.cell, this.call, ex, true);
-					return;
-				}
-			}
 		}
 		this.retries++;
 		this.context.count("retries");
 		this.context.note(this.call, "retry", failure.code() + " " + failure.verdict() + ": " + failure.getMessage());
-		this.context.after(delay(failure), this::attemptWhenGranted);
+		this.context.after(delay(failure), () -> guarded(this::attemptWhenGranted));
 	}
 
-	// Counts an engine death. Returns true when the call was stopped because of it.
-	private boolean isCrash(Attempt attempt) {
-		Instant now = this.context.now();
-		if (!this.context.suspects().died(this.contentDigest, attempt.engine(), attempt.startedAt(), now)) {
+	private boolean prepareRetryLocked(boolean ran) {
+		RunningCall admitted = this.cell.state().calls().running();
+		if (this.call.phase() == LiveCall.Phase.DONE || admitted == null) {
+			return false;
+		}
+		this.call.phase(LiveCall.Phase.ADMITTED);
+		if (!ran) {
+			return true;
+		}
+		this.call.setMayHaveRun();
+		try {
+			this.writer.apply(this.cell, CallTransitions.nextAttempt(this.cell.state(), admitted));
+			return true;
+		}
+		catch (CallFailure ex) {
+			this.queue.failLocked(this.cell, this.call, ex, true);
 			return false;
 		}
-		String reason = "two engines died under this content, the last one was " + attempt.engine();
-		this.context.control()
-			.append(new ControlRecord.Quarantine(this.contentDigest, reason, now.plus(Suspects.QUARANTINE)));
-		this.context.count("quarantined");
-		fail(CallFailure.mayHaveRun(ErrorCode.QUARANTINED, reason), true);
-		return true;
 	}
 
 	private boolean mayRetry(CallFailure failure) {
@@ -304,10 +348,14 @@
 		}
 	}
 
-	/**
-	 * One attempt on one engine.
-	 */
-	private record Attempt(String id, String engine, Instant startedAt) {
+	// An unexpected fault must not leave the caller waiting and the program blocked.
+	private void guarded(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException ex) {
+			fail(CallFailure.of(ex), true);
+		}
 	}
 
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/OwnerService.java
@@ -71,6 +71,8 @@
 
 	private final CallQueue queue;
 
+	private final AccountPrograms counts = new AccountPrograms();
+
 	private final ProgramLifecycle lifecycle;
 
 	private final ScheduledFuture<?> sweep;
@@ -85,7 +87,7 @@
 				scheduler, executor, clock, metrics, new RetryBudget(), new Suspects(), new Durability(ledger));
 		this.writer = new LedgerWriter(ledger);
 		this.queue = new CallQueue(this.context, this.writer, this::start);
-		this.lifecycle = new ProgramLifecycle(this.context, this.writer, this.queue);
+		this.lifecycle = new ProgramLifecycle(this.context, this.writer, this.queue, this.counts);
 		this.sweep = scheduler.scheduleWithFixedDelay(() -> executor.execute(this::sweep), SWEEP_INTERVAL_MS,
 				SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.outagePoll = scheduler.scheduleWithFixedDelay(this.context.durability()::poll, OUTAGE_POLL_MS,
@@ -95,9 +97,8 @@
 	@Override
 	public CompletableFuture<ProgramView> open(OpenProgram command) {
 		return operate(command.id(), (slot) -> {
-			long underWay = underWay(command.id().account());
 			synchronized (slot) {
-				return this.lifecycle.openLocked(slot, command, underWay);
+				return this.lifecycle.openLocked(slot, command);
 			}
 		});
 	}
@@ -129,6 +130,9 @@
 
 	private CompletableFuture<CallResult> callLocked(ShardSlot slot, CallRequest request, String digest,
 			EventSink sink) {
+		if (slot.dropped()) {
+			throw slot.notOwner();
+		}
 		ProgramCell cell = cell(slot, request);
 		LiveCall live = cell.live().get(request.requestId());
 		if (live != null) {
@@ -198,7 +202,10 @@
 			ProgramSnapshot state = ProgramSnapshot.restored(id, record);
 			slot.programs().put(id, new ProgramCell(slot, state, record.granted()));
 			cancelOpen(record);
-			if (!state.running()) {
+			if (state.running()) {
+				this.counts.add(id.account());
+			}
+			else {
 				state.engines().forEach((engine) -> this.context.dispatcher().release(engine, id));
 			}
 		});
@@ -241,6 +248,9 @@
 		synchronized (slot) {
 			slot.drop();
 			for (ProgramCell cell : slot.programs().values()) {
+				if (cell.state().running()) {
+					this.counts.remove(cell.id().account());
+				}
 				this.lifecycle.cancelCallsLocked(cell, ErrorCode.NOT_OWNER, "the shard is no longer served here");
 				for (LiveCall call : List.copyOf(cell.live().values())) {
 					this.queue.closeLocked(cell, call, null,
@@ -286,14 +296,6 @@
 		this.outagePoll.cancel(false);
 	}
 
-	private long underWay(String account) {
-		return this.slots.values()
-			.stream()
-			.flatMap((slot) -> slot.programs().values().stream())
-			.filter((cell) -> cell.id().account().equals(account) && cell.state().running())
-			.count();
-	}
-
 	private ShardSlot slot(ProgramId program) {
 		ShardSlot slot = this.slots.get(program.shard());
 		if (slot == null) {
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
@@ -44,15 +44,16 @@
 
 	private final CallQueue queue;
 
-	ProgramLifecycle(OwnerContext context, LedgerWriter writer, CallQueue queue) {
+	private final AccountPrograms counts;
+
+	ProgramLifecycle(OwnerContext context, LedgerWriter writer, CallQueue queue, AccountPrograms counts) {
 		this.context = context;
 		this.writer = writer;
 		this.queue = queue;
+		this.counts = counts;
 	}
 
-	// Opens a program.
-	// accountPrograms: programs of the account that are under way.
-	CompletableFuture<ProgramView> openLocked(ShardSlot slot, OpenProgram command, long accountPrograms) {
+	CompletableFuture<ProgramView> openLocked(ShardSlot slot, OpenProgram command) {
 		ProgramCell existing = slot.programs().get(command.id());
 		if (existing != null) {
 			if (!existing.state().openedBy(command)) {
@@ -61,33 +62,38 @@
 			}
 			return view(existing, existing.opened());
 		}
-		requireRoom(command, accountPrograms);
+		ClientAccount account = account(command.id());
+		ProgramTransitions.check(command, account, this.context.configuration().limits());
+		requireLog();
 		ProgramCell parent = parent(slot, command.id());
 		ProgramSnapshot before = (parent != null) ? parent.state() : null;
 		ProgramTransitions.Opening opening = ProgramTransitions.open(command, before, this.context.now());
+		if (!this.counts.tryAdd(account.name(), account.maxPrograms())) {
+			throw CallFailure.notRun(ErrorCode.LIMIT_REACHED, "client account '" + account.name()
+					+ "' may have at most " + account.maxPrograms() + " programs under way");
+		}
 		ProgramCell cell = new ProgramCell(slot, opening.opened(), 0);
 		slot.programs().put(command.id(), cell);
+		List<LedgerWriter.Change> changes = new ArrayList<>();
+		changes.add(new LedgerWriter.Change(cell, null, opening.opened()));
 		if (parent != null && opening.parent() != null) {
-			parent.state(opening.parent());
+			changes.add(new LedgerWriter.Change(parent, before, opening.parent()));
 		}
-		ProgramCell writerCell = (parent != null) ? parent : cell;
-		CompletableFuture<Void> append = this.writer.append(writerCell, (before != null) ? before : opening.opened(),
-				opening.records());
+		CompletableFuture<Void> append = this.writer.apply(changes, opening.records());
 		cell.opened(append);
 		this.context.count("programs.opened");
 		return view(cell, append);
 	}
 
-	private void requireRoom(OpenProgram command, long accountPrograms) {
-		ClientAccount account = this.context.configuration().clientAccounts().get(command.id().account());
+	private ClientAccount account(ProgramId id) {
+		ClientAccount account = this.context.configuration().clientAccounts().get(id.account());
 		if (account == null) {
-			throw CallFailure.notRun(ErrorCode.NOT_FOUND, "client account '" + command.id().account() + "' is unknown");
-		}
-		ProgramTransitions.check(command, account, this.context.configuration().limits());
-		if (accountPrograms >= account.maxPrograms()) {
-			throw CallFailure.notRun(ErrorCode.LIMIT_REACHED, "client account '" + account.name()
-					+ "' may have at most " + account.maxPrograms() + " programs under way");
+			throw CallFailure.notRun(ErrorCode.NOT_FOUND, "client account '" + id.account() + "' is unknown");
 		}
+		return account;
+	}
+
+	private void requireLog() {
 		double fill = this.context.ledger().bufferFill();
 		if (fill > MAX_FILL_FOR_NEW) {
 			throw new CallFailure(ErrorCode.LOG_UNAVAILABLE, Verdict.NOT_RUN,
@@ -123,16 +129,18 @@
 		cancelCallsLocked(cell, ErrorCode.PROGRAM_ENDED, "the program was ended");
 		ProgramSnapshot before = cell.state();
 		Transition ended = ProgramTransitions.end(before, to, this.context.now());
-		cell.state(ended.state());
+		List<LedgerWriter.Change> changes = new ArrayList<>();
+		changes.add(new LedgerWriter.Change(cell, before, ended.state()));
 		List<LedgerRecord.OfProgram> records = new ArrayList<>(ended.records());
 		ProgramId parentId = ProgramTransitions.parent(cell.id());
 		ProgramCell parent = (parentId != null) ? cell.slot().programs().get(parentId) : null;
 		if (parent != null && parent.state().running()) {
 			Transition refund = ProgramTransitions.refund(parent.state(), ended.state());
-			parent.state(refund.state());
+			changes.add(new LedgerWriter.Change(parent, parent.state(), refund.state()));
 			records.addAll(refund.records());
 		}
-		CompletableFuture<Void> append = this.writer.append(cell, before, records);
+		CompletableFuture<Void> append = this.writer.apply(changes, records);
+		this.counts.remove(cell.id().account());
 		this.context.count("programs.ended");
 		ended.state().engines().forEach((engine) -> this.context.dispatcher().release(engine, cell.id()));
 		return append;
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ServiceCall.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ServiceCall.java
@@ -48,21 +48,20 @@
 		this.call = call;
 	}
 
-	// Starts the call.
-	// intent: completes when the intent of a non-idempotent call is durable.
+	// A non-idempotent call is sent after its intent is durable.
 	void start(CompletableFuture<Void> intent) {
 		this.context.retries().firstAttempt();
 		if (this.call.request().idempotent()) {
-			attempt();
+			guarded(this::attempt);
 			return;
 		}
-		IntentWait.durable(this.context, intent).whenComplete((done, error) -> {
+		IntentWait.durable(this.context, intent).whenComplete((done, error) -> guarded(() -> {
 			if (error != null) {
 				fail(CallFailure.of(error));
 				return;
 			}
 			attempt();
-		});
+		}));
 	}
 
 	private void attempt() {
@@ -109,13 +108,13 @@
 		catch (RuntimeException ex) {
 			sent = CompletableFuture.failedFuture(ex);
 		}
-		sent.whenCompleteAsync((response, error) -> {
+		sent.whenCompleteAsync((response, error) -> guarded(() -> {
 			if (error != null) {
 				failed(CallFailure.of(error));
 				return;
 			}
 			succeeded(response);
-		}, this.context.executor());
+		}), this.context.executor());
 	}
 
 	private void succeeded(ServiceResponse response) {
@@ -156,7 +155,17 @@
 		this.context.note(this.call, "retry", failure.code() + " " + failure.verdict() + ": " + failure.getMessage());
 		Duration wait = (failure.retryAfter() != null) ? failure.retryAfter()
 				: Backoff.DEFAULT.delay(this.retries, ThreadLocalRandom.current().nextDouble());
-		this.context.after(wait, this::attempt);
+		this.context.after(wait, () -> guarded(this::attempt));
+	}
+
+	// An unexpected fault must not leave the caller waiting and the program blocked.
+	private void guarded(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException ex) {
+			fail(CallFailure.of(ex));
+		}
 	}
 
 	private void fail(CallFailure failure) {
