--- a/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
@@ -205,7 +205,7 @@
 	}
 
 	private void release(Exchange exchange) throws IOException {
-		SessionOrder order = exchange.json(SessionOrder.class);
+		SessionOrder order = sessionOrder(exchange);
 		accept(new OrderBook.Order("release", order.session(), order.fencingNumber()));
 		if (this.switches.update(EngineSwitches::withOneReleaseLost).loseReleases() == 0) {
 			this.driver.apply((now) -> this.driver.model().release(order.session(), now));
@@ -214,7 +214,7 @@
 	}
 
 	private void export(Exchange exchange) throws IOException {
-		SessionOrder order = exchange.json(SessionOrder.class);
+		SessionOrder order = sessionOrder(exchange);
 		long tokens = this.driver.apply((now) -> this.driver.model().sessionTokens(order.session(), now));
 		if (tokens == 0) {
 			throw new HttpRejection(404, "no such session: " + order.session());
@@ -223,7 +223,7 @@
 	}
 
 	private void load(Exchange exchange) throws IOException {
-		SessionOrder order = exchange.json(SessionOrder.class);
+		SessionOrder order = sessionOrder(exchange);
 		long tokens = (order.tokens() != null) ? order.tokens() : 0;
 		if (tokens < 1) {
 			throw new HttpRejection(400, "tokens must be at least 1, was " + tokens);
@@ -234,6 +234,14 @@
 		exchange.respond(200, Map.of());
 	}
 
+	private static SessionOrder sessionOrder(Exchange exchange) throws IOException {
+		SessionOrder order = exchange.json(SessionOrder.class);
+		if (order.session() == null) {
+			throw new HttpRejection(400, "session must be given");
+		}
+		return order;
+	}
+
 	private void order(Exchange exchange) throws IOException {
 		accept(exchange.json(OrderBook.Order.class));
 		exchange.respond(200, Map.of());
