--- a/wire/src/main/java/org/hemlockgw/wire/PeerServer.java
+++ b/wire/src/main/java/org/hemlockgw/wire/PeerServer.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -24,9 +25,12 @@
 
 	private final ChannelGroup connections;
 
-	private PeerServer(Channel listener, ChannelGroup connections) {
+	private final AtomicInteger openRequests;
+
+	private PeerServer(Channel listener, ChannelGroup connections, AtomicInteger openRequests) {
 		this.listener = listener;
 		this.connections = connections;
+		this.openRequests = openRequests;
 	}
 
 	/**
@@ -42,9 +46,10 @@
 	public static PeerServer start(InetSocketAddress address, EventLoopGroup group, Executor executor, LocalPeer self,
 			LocalServices services, PeerTimings timings) {
 		ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
+		AtomicInteger openRequests = new AtomicInteger();
 		RequestHandler handler = new RequestHandler(self, services);
 		FramePipeline pipeline = new FramePipeline(
-				() -> new ServerConnection(self, handler, executor, timings, connections),
+				() -> new ServerConnection(self, handler, executor, timings, connections, openRequests),
 				FramePipeline.MAX_FRAME_BYTES);
 		Channel listener = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
@@ -56,7 +61,7 @@
 			.bind(address)
 			.syncUninterruptibly()
 			.channel();
-		return new PeerServer(listener, connections);
+		return new PeerServer(listener, connections, openRequests);
 	}
 
 	/**
@@ -67,6 +72,14 @@
 		return (InetSocketAddress) this.listener.localAddress();
 	}
 
+	/**
+	 * Returns how many requests of connected peers have no answer yet.
+	 * @return the number of open requests
+	 */
+	public int openRequests() {
+		return this.openRequests.get();
+	}
+
 	@Override
 	public void close() {
 		this.listener.close().syncUninterruptibly();
--- a/wire/src/main/java/org/hemlockgw/wire/ServerConnection.java
+++ b/wire/src/main/java/org/hemlockgw/wire/ServerConnection.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelHandlerContext;
@@ -43,6 +44,8 @@
 
 	private final ChannelGroup connections;
 
+	private final AtomicInteger openRequests;
+
 	private final SenderWatch watch;
 
 	private final Map<Long, Request> open = new HashMap<>();
@@ -52,12 +55,13 @@
 	private @Nullable Future<?> check;
 
 	ServerConnection(LocalPeer self, RequestHandler handler, Executor executor, PeerTimings timings,
-			ChannelGroup connections) {
+			ChannelGroup connections, AtomicInteger openRequests) {
 		this.self = self;
 		this.handler = handler;
 		this.executor = executor;
 		this.timings = timings;
 		this.connections = connections;
+		this.openRequests = openRequests;
 		this.watch = new SenderWatch(self.listener());
 	}
 
@@ -99,7 +103,9 @@
 					"at most " + MAX_OPEN_REQUESTS + " open requests on one peer connection"));
 			return;
 		}
-		this.open.put(correlation, request);
+		if (this.open.put(correlation, request) == null) {
+			this.openRequests.incrementAndGet();
+		}
 		try {
 			this.executor.execute(() -> run(ctx, correlation, request));
 		}
@@ -140,15 +146,21 @@
 					"the answer is larger than " + FramePipeline.MAX_FRAME_BYTES + " bytes"));
 			return;
 		}
-		this.open.remove(correlation);
+		close(correlation);
 		write(ctx, frame);
 	}
 
 	private void fail(ChannelHandlerContext ctx, long correlation, CallFailure failure) {
-		this.open.remove(correlation);
+		close(correlation);
 		write(ctx, this.self.frame(correlation).setFailure(PeerMessages.failure(failure)).build());
 	}
 
+	private void close(long correlation) {
+		if (this.open.remove(correlation) != null) {
+			this.openRequests.decrementAndGet();
+		}
+	}
+
 	private void write(ChannelHandlerContext ctx, Frame frame) {
 		if (!ctx.channel().isActive()) {
 			return;
@@ -167,6 +179,7 @@
 		if (this.check != null) {
 			this.check.cancel(false);
 		}
+		this.openRequests.addAndGet(-this.open.size());
 		this.open.values().forEach(this::abandon);
 		this.open.clear();
 	}
