--- a/core/src/main/java/org/hemlockgw/core/config/DocumentReader.java
+++ b/core/src/main/java/org/hemlockgw/core/config/DocumentReader.java
@@ -32,15 +32,25 @@
 
 	private final Set<String> known = new TreeSet<>();
 
+	/**
+	 * Creates a reader.
+	 * @param node the object; anything else is an error and reads as missing members
+	 * @param path key path of the object, empty for the document
+	 * @param errors where errors are added
+	 */
 	public DocumentReader(JsonNode node, String path, List<ConfigError> errors) {
-		this.path = path;
-		this.errors = errors;
-		this.node = node;
+		this(path, node, errors);
 		if (!node.isObject()) {
 			errors.add(ConfigError.of(path, node, "an object of keys and values"));
 		}
 	}
 
+	private DocumentReader(String path, JsonNode node, List<ConfigError> errors) {
+		this.path = path;
+		this.node = node;
+		this.errors = errors;
+	}
+
 	public String path(String key) {
 		return this.path.isEmpty() ? key : this.path + "." + key;
 	}
@@ -171,6 +181,10 @@
 	 * @return a reader of the object
 	 */
 	public DocumentReader object(String key) {
+		if (!this.node.isObject()) {
+			// The error of this object is enough; its members cause no further ones.
+			return new DocumentReader(path(key), MissingNode.getInstance(), this.errors);
+		}
 		JsonNode value = member(key, false, "").orElse(JsonNodeFactory.instance.objectNode());
 		return new DocumentReader(value, path(key), this.errors);
 	}
--- a/core/src/test/java/org/hemlockgw/core/platform/InMemoryLog.java
+++ b/core/src/test/java/org/hemlockgw/core/platform/InMemoryLog.java
@@ -17,7 +17,9 @@
 
 	private final List<LogRecord> records = new ArrayList<>();
 
-	private final List<Runnable> waiting = new ArrayList<>();
+	private final List<CompletableFuture<LogPage>> waiting = new ArrayList<>();
+
+	private int failedReads;
 
 	private long first;
 
@@ -47,6 +49,18 @@
 		this.first = offset;
 	}
 
+	public synchronized int failedReads() {
+		return this.failedReads;
+	}
+
+	/**
+	 * Counts reads that wait for the next record.
+	 * @return the number of reads
+	 */
+	public synchronized long waitingReads() {
+		return this.waiting.stream().filter((read) -> !read.isDone()).count();
+	}
+
 	public synchronized int size() {
 		return this.records.size();
 	}
@@ -58,9 +72,9 @@
 		}
 		long offset = this.records.size();
 		this.records.add(new LogRecord(offset, Instant.ofEpochSecond(1_700_000_000L + offset), data));
-		List<Runnable> woken = List.copyOf(this.waiting);
+		List<CompletableFuture<LogPage>> woken = List.copyOf(this.waiting);
 		this.waiting.clear();
-		woken.forEach(Runnable::run);
+		woken.forEach((read) -> read.complete(page(offset, 1)));
 		if (this.answersToLose > 0) {
 			this.answersToLose--;
 			return CompletableFuture.failedFuture(CallFailure.mayHaveRun(ErrorCode.LOG_UNAVAILABLE, "answer lost"));
@@ -74,13 +88,14 @@
 			return new CompletableFuture<>();
 		}
 		if (this.outage) {
+			this.failedReads++;
 			return CompletableFuture.failedFuture(CallFailure.notRun(ErrorCode.LOG_UNAVAILABLE, "outage"));
 		}
 		if (wait.isZero() || from < this.records.size()) {
 			return CompletableFuture.completedFuture(page(from, max));
 		}
 		CompletableFuture<LogPage> result = new CompletableFuture<>();
-		this.waiting.add(() -> result.complete(page(from, max)));
+		this.waiting.add(result);
 		return result.completeOnTimeout(page(from, max), wait.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
--- a/daemon/src/main/java/org/hemlockgw/daemon/admin/AdminHandler.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/admin/AdminHandler.java
@@ -13,6 +13,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.io.HttpRequestHandler;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
 import org.apache.hc.core5.http.protocol.HttpContext;
@@ -55,6 +56,8 @@
 			reply = error(500, "internal error");
 		}
 		response.setCode(reply.status());
+		// Requests are rare; open connections would delay the shutdown of the listener.
+		response.setHeader(HttpHeaders.CONNECTION, "close");
 		response.setEntity(new ByteArrayEntity(MAPPER.writeValueAsBytes(reply.body()), ContentType.APPLICATION_JSON));
 	}
 
--- a/daemon/src/main/java/org/hemlockgw/daemon/config/ConfigController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/config/ConfigController.java
@@ -160,6 +160,16 @@
 	 * @return number of records read
 	 */
 	private CompletableFuture<Integer> read(Duration wait, long timeoutMs) {
+		try {
+			return readOnce(wait, timeoutMs);
+		}
+		catch (RuntimeException ex) {
+			// A failure of any kind must not end the polls.
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	private CompletableFuture<Integer> readOnce(Duration wait, long timeoutMs) {
 		if (this.loadNeeded) {
 			return this.stream.load().orTimeout(LOAD_TIMEOUT_MS, TimeUnit.MILLISECONDS).thenApply((loaded) -> {
 				adopt(loaded);
@@ -217,7 +227,8 @@
 	}
 
 	private CompletableFuture<?> askPeer() {
-		return this.peers.fetch()
+		return CompletableFuture.completedFuture(null)
+			.thenCompose((start) -> this.peers.fetch())
 			.orTimeout(PEER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
 			.thenAccept(this::adoptFromPeer)
 			.exceptionally((ex) -> {
--- a/daemon/src/main/java/org/hemlockgw/daemon/membership/VmListController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/membership/VmListController.java
@@ -57,7 +57,7 @@
 		if (this.closed) {
 			return;
 		}
-		CompletableFuture<List<Vm>> list = this.vmList.list();
+		CompletableFuture<List<Vm>> list = list();
 		list.copy()
 			.orTimeout(POLL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
 			.thenAccept(this::publish)
@@ -73,6 +73,16 @@
 			});
 	}
 
+	// A failure of any kind must not end the polls.
+	private CompletableFuture<List<Vm>> list() {
+		try {
+			return this.vmList.list();
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
 	private void publish(List<Vm> list) {
 		if (list.isEmpty()) {
 			// This daemon runs on a VM, so an empty list is a fault of the VM list.
