--- a/cli/src/main/java/org/hemlockgw/cli/PatchSubmitter.java
+++ b/cli/src/main/java/org/hemlockgw/cli/PatchSubmitter.java
@@ -60,9 +60,11 @@
 			}
 			Await.pause(Timeouts.RETRY);
 		}
-		String consequence = this.mayBeAppended ? "it may still take effect; look for it with 'hemlockctl config log'"
-				: "it was not appended";
-		throw CommandFailure.failed("Outcome of patch " + patch.id() + " is unknown, " + consequence + ": " + fault);
+		if (!this.mayBeAppended) {
+			throw CommandFailure.failed("Patch " + patch.id() + " was not appended: " + fault);
+		}
+		throw CommandFailure.failed("The outcome of patch " + patch.id()
+				+ " is unknown; it may still take effect. Look for it with 'hemlockctl config log'. " + fault);
 	}
 
 	private Optional<PatchOutcome> find(String id) {
--- a/cli/src/test/java/org/hemlockgw/cli/MainTests.java
+++ b/cli/src/test/java/org/hemlockgw/cli/MainTests.java
@@ -98,7 +98,7 @@
 	void saysThatAPatchWasNotAppendedDuringAnOutage() throws IOException {
 		this.log.setOutage(true);
 		assertThat(patch(0, "policy: cache_first", "--timeout", "1")).isEqualTo(ExitStatus.FAILED);
-		assertThat(this.err.toString()).contains("it was not appended");
+		assertThat(this.err.toString()).containsMatch("Patch .* was not appended: outage");
 	}
 
 	// Guards against one dead daemon that hides the answers of all others.
--- a/daemon/src/main/java/org/hemlockgw/daemon/config/SnapshotWriter.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/config/SnapshotWriter.java
@@ -17,9 +17,10 @@
 import org.hemlockgw.core.platform.LogService;
 
 /**
- * Appends a snapshot when the latest one is old, has expired, or has a long tail. Each
- * daemon waits for a random time first and finds the snapshot of a faster one, so that
- * few are written. A superfluous snapshot is harmless.
+ * Appends a snapshot when the latest one is old, has expired, or has a long tail, so that
+ * the configuration outlives the retention of the log. Each daemon waits for a random
+ * time first and finds the snapshot of a faster one, so that few are written. A
+ * superfluous snapshot is harmless.
  */
 final class SnapshotWriter {
 
@@ -27,9 +28,12 @@
 
 	private static final long MAX_TAIL_RECORDS = 512;
 
-	private static final Duration MAX_AGE = Duration.ofHours(1);
+	private static final Duration MIN_INTERVAL = Duration.ofMinutes(3);
 
-	private static final long MAX_DELAY_MS = 30_000;
+	// Every daemon reads every snapshot: a tenth of the 2 KB/s that control may use.
+	private static final long MAX_BYTES_PER_SECOND = 200;
+
+	private static final long MAX_DELAY_MS = 10_000;
 
 	private final LogService log;
 
@@ -43,6 +47,8 @@
 
 	private volatile long firstRetained;
 
+	private volatile long lastSizeBytes;
+
 	SnapshotWriter(LogService log, ScheduledExecutorService executor, InstantSource clock,
 			Supplier<ConfigState> state) {
 		this.log = log;
@@ -75,17 +81,24 @@
 		}
 		boolean expired = this.firstRetained > 0 && current.snapshotOffset() <= this.firstRetained;
 		boolean longTail = current.next() - current.snapshotOffset() > MAX_TAIL_RECORDS;
-		boolean old = current.snapshotTime().plus(MAX_AGE).isBefore(this.clock.instant());
+		boolean old = current.snapshotTime().plus(interval()).isBefore(this.clock.instant());
 		return expired || longTail || old;
 	}
 
+	private Duration interval() {
+		Duration bySize = Duration.ofSeconds(this.lastSizeBytes / MAX_BYTES_PER_SECOND);
+		return (bySize.compareTo(MIN_INTERVAL) > 0) ? bySize : MIN_INTERVAL;
+	}
+
 	private void write() {
+		ConfigState current = this.state.get();
+		byte[] data = ConfigCodec.encode(current.snapshot());
+		this.lastSizeBytes = data.length;
 		if (!isDue()) {
 			this.scheduled.set(false);
 			return;
 		}
-		ConfigState current = this.state.get();
-		this.log.append(ConfigStream.NAME, ConfigCodec.encode(current.snapshot())).whenComplete((offset, error) -> {
+		this.log.append(ConfigStream.NAME, data).whenComplete((offset, error) -> {
 			this.scheduled.set(false);
 			if (error == null) {
 				logger.atInfo().log("Wrote a snapshot of configuration version %d", current.version());
