--- a/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +24,8 @@
  */
 public final class EngineServer implements AutoCloseable {
 
+	private static final long RESTART_RETRY_MS = 100;
+
 	private final Switches<EngineSwitches> switches;
 
 	private final EngineDriver driver;
@@ -77,8 +80,7 @@
 		this.driver.crash();
 		endStalls();
 		endMute();
-		CompletableFuture.delayedExecutor(this.switches.get().restartMs(), TimeUnit.MILLISECONDS)
-			.execute(this.http::start);
+		restartAfter(this.switches.get().restartMs());
 	}
 
 	@Override
@@ -203,7 +205,7 @@
 	}
 
 	private void release(Exchange exchange) throws IOException {
-		SessionOrder order = exchange.json(SessionOrder.class);
+		SessionOrder order = sessionOrder(exchange);
 		accept(new OrderBook.Order("release", order.session(), order.fencingNumber()));
 		if (this.switches.update(EngineSwitches::withOneReleaseLost).loseReleases() == 0) {
 			this.driver.apply((now) -> this.driver.model().release(order.session(), now));
@@ -212,7 +214,7 @@
 	}
 
 	private void export(Exchange exchange) throws IOException {
-		SessionOrder order = exchange.json(SessionOrder.class);
+		SessionOrder order = sessionOrder(exchange);
 		long tokens = this.driver.apply((now) -> this.driver.model().sessionTokens(order.session(), now));
 		if (tokens == 0) {
 			throw new HttpRejection(404, "no such session: " + order.session());
@@ -221,7 +223,7 @@
 	}
 
 	private void load(Exchange exchange) throws IOException {
-		SessionOrder order = exchange.json(SessionOrder.class);
+		SessionOrder order = sessionOrder(exchange);
 		long tokens = (order.tokens() != null) ? order.tokens() : 0;
 		if (tokens < 1) {
 			throw new HttpRejection(400, "tokens must be at least 1, was " + tokens);
@@ -232,6 +234,14 @@
 		exchange.respond(200, Map.of());
 	}
 
+	private static SessionOrder sessionOrder(Exchange exchange) throws IOException {
+		SessionOrder order = exchange.json(SessionOrder.class);
+		if (order.session() == null) {
+			throw new HttpRejection(400, "session must be given");
+		}
+		return order;
+	}
+
 	private void order(Exchange exchange) throws IOException {
 		accept(exchange.json(OrderBook.Order.class));
 		exchange.respond(200, Map.of());
@@ -244,6 +254,19 @@
 		}
 	}
 
+	private void restartAfter(long delayMs) {
+		CompletableFuture.delayedExecutor(delayMs, TimeUnit.MILLISECONDS).execute(() -> {
+			try {
+				this.http.start();
+			}
+			catch (UncheckedIOException ex) {
+				// An outgoing connection of another process may hold the port for a
+				// while.
+				restartAfter(RESTART_RETRY_MS);
+			}
+		});
+	}
+
 	private void switchesChanged() {
 		this.driver.apply((now) -> true);
 		if (!this.switches.get().mute()) {
