--- a/daemon/src/main/java/org/hemlockgw/daemon/Main.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/Main.java
@@ -5,16 +5,11 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 
-import ch.qos.logback.classic.Logger;
-import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.JsonEncoder;
-import ch.qos.logback.classic.spi.ILoggingEvent;
-import ch.qos.logback.core.FileAppender;
-import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
+import org.hemlockgw.daemon.settings.LogFile;
 import org.hemlockgw.daemon.settings.Settings;
 import org.hemlockgw.daemon.settings.SettingsException;
 import org.hemlockgw.daemon.settings.SettingsLoader;
@@ -45,14 +40,14 @@
 		Settings settings;
 		try {
 			settings = SettingsLoader.load(this.settingsFile);
+			if (settings.logFile() != null) {
+				LogFile.open(settings.logFile());
+			}
 		}
 		catch (SettingsException ex) {
 			System.err.println(ex.getMessage());
 			return EXIT_SETTINGS;
 		}
-		if (settings.logFile() != null) {
-			addLogFile(settings.logFile());
-		}
 		try {
 			run(Daemon.start(settings));
 			return 0;
@@ -75,17 +70,4 @@
 		shutdown.await();
 	}
 
-	private static void addLogFile(Path file) {
-		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
-		JsonEncoder encoder = new JsonEncoder();
-		encoder.setContext(context);
-		encoder.start();
-		FileAppender<ILoggingEvent> appender = new FileAppender<>();
-		appender.setContext(context);
-		appender.setFile(file.toString());
-		appender.setEncoder(encoder);
-		appender.start();
-		context.getLogger(Logger.ROOT_LOGGER_NAME).addAppender(appender);
-	}
-
 }
