--- a/core/src/main/java/org/hemlockgw/core/control/ControlFold.java
+++ b/core/src/main/java/org/hemlockgw/core/control/ControlFold.java
@@ -127,12 +127,7 @@
 			return;
 		}
 		List<Incarnation> unsealed = new ArrayList<>(holder.unsealed());
-		// A claimant that is already listed keeps its place: its ledger is folded once,
-		// and
-		// later claimants only checkpointed the state that was folded from it.
-		if (!unsealed.contains(claim.by())) {
-			unsealed.add(claim.by());
-		}
+		unsealed.add(claim.by());
 		this.shards.put(shard, new Holder(epoch, claim.by(), false, claim.at(), List.copyOf(unsealed)));
 	}
 
--- a/core/src/main/java/org/hemlockgw/core/control/Holder.java
+++ b/core/src/main/java/org/hemlockgw/core/control/Holder.java
@@ -16,7 +16,8 @@
  * @param ready whether the take-over of that epoch is complete; always true for an engine
  * @param since time of the claim
  * @param unsealed claimants since and including the last one with a completed take-over,
- * oldest first, whose ledgers a successor seals and reads; empty for an engine
+ * oldest first and one for each epoch, whose ledgers a successor seals and reads; empty
+ * for an engine
  */
 public record Holder(long epoch, @Nullable Incarnation incarnation, boolean ready, Instant since,
 		List<Incarnation> unsealed) {
@@ -24,4 +25,13 @@
 	/** Never claimed. */
 	public static final Holder NONE = new Holder(0, null, false, Instant.EPOCH, List.of());
 
+	/**
+	 * Returns the epoch of the first claimant of {@link #unsealed}. What a ledger holds
+	 * of earlier epochs is out of date.
+	 * @return the epoch
+	 */
+	public long firstUnsealedEpoch() {
+		return this.epoch - this.unsealed.size() + 1;
+	}
+
 }
--- a/core/src/main/java/org/hemlockgw/core/ledger/LedgerFold.java
+++ b/core/src/main/java/org/hemlockgw/core/ledger/LedgerFold.java
@@ -35,7 +35,8 @@
  */
 public final class LedgerFold {
 
-	private final @Nullable Set<ShardId> shards;
+	/** First epoch that counts by shard, or {@code null} for all shards and epochs. */
+	private final @Nullable Map<ShardId, Long> firstEpochs;
 
 	private final Map<ProgramId, ProgramFold> programs = new LinkedHashMap<>();
 
@@ -43,16 +44,24 @@
 
 	private final Map<ShardId, Long> sealEpochs = new HashMap<>();
 
+	private final Map<ShardId, Long> statedEpochs = new HashMap<>();
+
 	private String writer = "";
 
 	private long lastSequence = -1;
 
-	private LedgerFold(@Nullable Set<ShardId> shards) {
-		this.shards = shards;
+	private LedgerFold(@Nullable Map<ShardId, Long> firstEpochs) {
+		this.firstEpochs = firstEpochs;
 	}
 
-	public static LedgerFold ofShards(Set<ShardId> shards) {
-		return new LedgerFold(Set.copyOf(shards));
+	/**
+	 * Creates a fold of some shards.
+	 * @param firstEpochs epoch of the last completed take-over by shard; a ledger may
+	 * still hold records of earlier epochs, which are out of date
+	 * @return the fold
+	 */
+	public static LedgerFold ofShards(Map<ShardId, Long> firstEpochs) {
+		return new LedgerFold(Map.copyOf(firstEpochs));
 	}
 
 	public static LedgerFold ofAllShards() {
@@ -68,6 +77,7 @@
 		this.lastSequence = -1;
 		this.openEpochs.clear();
 		this.sealEpochs.clear();
+		this.statedEpochs.clear();
 	}
 
 	/**
@@ -117,6 +127,25 @@
 		return Map.copyOf(this.openEpochs);
 	}
 
+	/**
+	 * Tells whether the ledger holds the whole state of a shard, as it does not between
+	 * the opening of an epoch and the checkpoint of its take-over.
+	 * @param shard the shard
+	 * @return true when a reader needs no earlier ledger for it
+	 */
+	public boolean stated(ShardId shard) {
+		return this.statedEpochs.getOrDefault(shard, 0L).equals(this.openEpochs.getOrDefault(shard, 0L));
+	}
+
+	/**
+	 * Returns the epoch of the last statement of a shard's whole state.
+	 * @param shard the shard
+	 * @return the epoch, or 0 before the first
+	 */
+	public long statedEpoch(ShardId shard) {
+		return this.statedEpochs.getOrDefault(shard, 0L);
+	}
+
 	/**
 	 * Tells whether a sealed shard still has programs here. A writer must then keep the
 	 * records ahead of the seal readable for the successor.
@@ -158,6 +187,7 @@
 	public void forget(Set<ShardId> gone) {
 		this.programs.keySet().removeIf((id) -> gone.contains(id.shard()));
 		this.openEpochs.keySet().removeAll(gone);
+		this.statedEpochs.keySet().removeAll(gone);
 	}
 
 	/**
@@ -208,17 +238,26 @@
 	private void openEpoch(EpochOpened opened) {
 		Set<ShardId> fresh = new HashSet<>();
 		for (ShardId shard : opened.shards()) {
-			this.openEpochs.merge(shard, opened.epoch(), Math::max);
-			if (opened.stateFollows() && !sealed(shard)) {
+			this.openEpochs.put(shard, opened.epoch());
+			if (opened.stateFollows() && counts(shard)) {
 				fresh.add(shard);
+				this.statedEpochs.put(shard, opened.epoch());
 			}
 		}
 		this.programs.keySet().removeIf((id) -> fresh.contains(id.shard()));
 	}
 
+	private boolean counts(ShardId shard) {
+		if (this.firstEpochs == null) {
+			return !sealed(shard);
+		}
+		Long first = this.firstEpochs.get(shard);
+		return first != null && this.openEpochs.getOrDefault(shard, 0L) >= first && !sealed(shard);
+	}
+
 	private void applyToProgram(OfProgram record) {
 		ShardId shard = record.program().shard();
-		if ((this.shards != null && !this.shards.contains(shard)) || sealed(shard)) {
+		if (!counts(shard)) {
 			return;
 		}
 		if (record instanceof Checkpoint checkpoint) {
--- a/daemon/src/main/java/org/hemlockgw/daemon/control/ControlController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/control/ControlController.java
@@ -88,7 +88,7 @@
 
 	private boolean draining;
 
-	private boolean superseded;
+	private boolean stopped;
 
 	private @Nullable Assignment assignment;
 
@@ -136,7 +136,7 @@
 	public void stop() {
 		this.stream.stop();
 		synchronized (this.lock) {
-			this.superseded = true;
+			this.stopped = true;
 			if (this.ticks != null) {
 				this.ticks.cancel(false);
 			}
@@ -180,7 +180,7 @@
 
 	private void drive() {
 		synchronized (this.lock) {
-			if (this.superseded) {
+			if (this.stopped) {
 				return;
 			}
 			ControlState state = this.board.control().get();
@@ -224,21 +224,22 @@
 
 	private void notCurrent(ControlState state) {
 		Incarnation current = state.incarnations().get(this.self.vm());
+		if (this.draining) {
+			dropAll();
+			this.drained.complete(null);
+			return;
+		}
 		if (this.started) {
 			dropAll();
 			if (current != null && !this.earlier.contains(current)) {
-				logger.atSevere()
-					.log("a newer process of VM %s has started as %s; this one takes no further part", this.self.vm(),
-							current.id());
-				this.superseded = true;
+				// Either a newer process of this VM, or a start that the log applied
+				// late. The
+				// monitors report the latter down, because this process answers for it.
 				return;
 			}
 			renew();
 		}
-		if (this.draining) {
-			this.drained.complete(null);
-		}
-		else if (this.stream.current()) {
+		if (this.stream.current()) {
 			this.gates.started().tryAppend(state.offset(), () -> append(new Started(this.self, this.clock.instant())));
 		}
 	}
--- a/daemon/src/main/java/org/hemlockgw/daemon/control/TakeOver.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/control/TakeOver.java
@@ -1,5 +1,6 @@
 package org.hemlockgw.daemon.control;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +16,7 @@
 import org.hemlockgw.core.ledger.LedgerBatch;
 import org.hemlockgw.core.ledger.LedgerFold;
 import org.hemlockgw.core.ledger.LedgerRecord;
+import org.hemlockgw.core.ledger.LedgerRecord.EpochOpened;
 import org.hemlockgw.core.ledger.LedgerRecord.ProgramRecord;
 import org.hemlockgw.daemon.ledger.LedgerReader;
 import org.hemlockgw.daemon.ledger.LedgerWriter;
@@ -27,6 +29,8 @@
 
 	private final Map<ShardId, Long> epochs;
 
+	private final Map<ShardId, Long> firstEpochs;
+
 	private final List<Incarnation> predecessors;
 
 	private final LedgerWriter writer;
@@ -46,19 +50,21 @@
 	/**
 	 * Creates a take-over.
 	 * @param epochs epochs of the accepted claim by shard
+	 * @param firstEpochs epoch of the first predecessor by shard
 	 * @param predecessors whose ledgers to fold, the oldest first; the own incarnation
 	 * may be among them
 	 * @param writer the own ledger
 	 * @param reader reads the others
 	 * @param completion gate of the completion record
 	 */
-	TakeOver(Map<ShardId, Long> epochs, List<Incarnation> predecessors, LedgerWriter writer, LedgerReader reader,
-			Gate completion) {
+	TakeOver(Map<ShardId, Long> epochs, Map<ShardId, Long> firstEpochs, List<Incarnation> predecessors,
+			LedgerWriter writer, LedgerReader reader, Gate completion) {
 		this.epochs = Map.copyOf(epochs);
-		this.predecessors = predecessors;
+		this.firstEpochs = Map.copyOf(firstEpochs);
+		this.predecessors = predecessors.stream().distinct().toList();
 		this.writer = writer;
 		this.reader = reader;
-		this.fold = LedgerFold.ofShards(this.epochs.keySet());
+		this.fold = LedgerFold.ofShards(this.firstEpochs);
 		this.completion = completion;
 	}
 
@@ -118,15 +124,14 @@
 
 	// The writer has folded its own ledger already.
 	private void foldOwn() {
-		Set<ShardId> shards = this.epochs.keySet();
-		List<LedgerRecord> checkpoints = LedgerFold.checkpoints(this.writer.programs(shards))
-			.values()
-			.stream()
-			.<LedgerRecord>flatMap(List::stream)
-			.toList();
+		List<LedgerRecord> records = new ArrayList<>();
+		LedgerFold.checkpoints(this.writer.programs(this.firstEpochs)).forEach((shard, checkpoints) -> {
+			records.add(new EpochOpened(Set.of(shard), epoch(shard), true));
+			records.addAll(checkpoints);
+		});
 		String id = this.writer.incarnation().id();
 		this.fold.startLedger(id);
-		this.fold.apply(new LedgerBatch(id, 0, 0, checkpoints));
+		this.fold.apply(new LedgerBatch(id, 0, 0, records));
 	}
 
 	private void check() {
--- a/daemon/src/main/java/org/hemlockgw/daemon/control/TakeOvers.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/control/TakeOvers.java
@@ -58,7 +58,11 @@
 				groups.computeIfAbsent(holder.unsealed(), (list) -> new TreeMap<>()).put(shard, holder.epoch());
 			}
 		});
-		groups.forEach((predecessors, epochs) -> start(predecessors, epochs, writer));
+		groups.forEach((predecessors, epochs) -> {
+			Map<ShardId, Long> firstEpochs = new TreeMap<>();
+			epochs.keySet().forEach((shard) -> firstEpochs.put(shard, state.shard(shard).firstUnsealedEpoch()));
+			start(predecessors, epochs, firstEpochs, writer);
+		});
 	}
 
 	/**
@@ -123,8 +127,9 @@
 		this.byShard.values().removeIf((other) -> other == takeOver);
 	}
 
-	private void start(List<Incarnation> predecessors, Map<ShardId, Long> epochs, LedgerWriter writer) {
-		TakeOver takeOver = new TakeOver(epochs, predecessors, writer, this.reader, new Gate(this.lock));
+	private void start(List<Incarnation> predecessors, Map<ShardId, Long> epochs, Map<ShardId, Long> firstEpochs,
+			LedgerWriter writer) {
+		TakeOver takeOver = new TakeOver(epochs, firstEpochs, predecessors, writer, this.reader, new Gate(this.lock));
 		epochs.keySet().forEach((shard) -> this.byShard.put(shard, takeOver));
 		takeOver.run().whenComplete((done, thrown) -> {
 			if (thrown == null) {
--- a/daemon/src/main/java/org/hemlockgw/daemon/ledger/CheckpointProgress.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/ledger/CheckpointProgress.java
@@ -72,19 +72,34 @@
 		if (this.active && this.start < 0) {
 			// Not earlier, because the batch before this one may open a program.
 			this.waiting.addAll(this.fold.shardsWithPrograms());
-			Map<ShardId, Long> empty = new TreeMap<>(this.fold.openEpochs());
-			empty.keySet().removeAll(this.waiting);
-			LedgerReader.byEpoch(empty).forEach((epoch, shards) -> records.add(new EpochOpened(shards, epoch, true)));
+			openEmptyShards(records);
 		}
 		while (!this.waiting.isEmpty() && RecordSize.of(records) < bytes) {
 			ShardId shard = this.waiting.remove();
 			long epoch = this.fold.openEpochs().getOrDefault(shard, 0L);
-			records.add(new EpochOpened(Set.of(shard), epoch, true));
+			records.add(new EpochOpened(Set.of(shard), this.fold.statedEpoch(shard), true));
 			LedgerFold.checkpoints(this.fold.programs(Set.of(shard))).values().forEach(records::addAll);
+			if (!this.fold.stated(shard)) {
+				// The shard came back and its take-over is not complete yet.
+				records.add(new EpochOpened(Set.of(shard), epoch, false));
+			}
 		}
 		return records;
 	}
 
+	// A shard in the middle of its take-over has no programs here yet, but has some in
+	// the
+	// ledgers of its predecessors, which a statement of no programs would make void.
+	private void openEmptyShards(List<LedgerRecord> records) {
+		Map<ShardId, Long> stated = new TreeMap<>(this.fold.openEpochs());
+		stated.keySet().removeAll(this.waiting);
+		Map<ShardId, Long> claimed = new TreeMap<>(stated);
+		stated.keySet().removeIf((shard) -> !this.fold.stated(shard));
+		claimed.keySet().removeAll(stated.keySet());
+		LedgerReader.byEpoch(stated).forEach((epoch, shards) -> records.add(new EpochOpened(shards, epoch, true)));
+		LedgerReader.byEpoch(claimed).forEach((epoch, shards) -> records.add(new EpochOpened(shards, epoch, false)));
+	}
+
 	/**
 	 * Notes that the batch in flight is in the ledger.
 	 * @param position its offset
--- a/daemon/src/main/java/org/hemlockgw/daemon/ledger/LedgerWriter.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/ledger/LedgerWriter.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -159,11 +160,13 @@
 
 	/**
 	 * Returns the programs of some shards as this ledger has them.
-	 * @param shards the shards
+	 * @param firstEpochs first epoch that counts by shard
 	 * @return state by program
 	 */
-	public Map<ProgramId, ProgramRecord> programs(Set<ShardId> shards) {
+	public Map<ProgramId, ProgramRecord> programs(Map<ShardId, Long> firstEpochs) {
 		synchronized (this.lock) {
+			Set<ShardId> shards = new HashSet<>(firstEpochs.keySet());
+			shards.removeIf((shard) -> this.fold.statedEpoch(shard) < firstEpochs.getOrDefault(shard, 0L));
 			return this.fold.programs(shards);
 		}
 	}
--- a/daemon/src/test/java/org/hemlockgw/daemon/ledger/LedgerWriterTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/ledger/LedgerWriterTests.java
@@ -208,7 +208,7 @@
 	private void takeOver(Map<ShardId, Long> epochs, CompletableFuture<Map<ProgramId, ProgramRecord>> folded) {
 		LedgerReader reader = new LedgerReader(this.log.client(this.successor), CODEC, LedgerSettings.DEFAULT,
 				this.successor);
-		LedgerFold fold = LedgerFold.ofShards(epochs.keySet());
+		LedgerFold fold = LedgerFold.ofShards(Map.of(program("a").shard(), 0L, program("b").shard(), 0L));
 		reader.seal(WRITER, epochs, new Incarnation("vm2", "successor"))
 			.thenCompose((end) -> reader.read(WRITER, end, fold))
 			.thenRun(() -> folded.complete(fold.forTakeOver()));
