--- a/core/src/main/java/org/hemlockgw/core/ledger/LedgerFold.java
+++ b/core/src/main/java/org/hemlockgw/core/ledger/LedgerFold.java
@@ -278,10 +278,11 @@
 		if (this.programs.containsKey(opened.program())) {
 			return;
 		}
-		ProgramFold parent = parentOf(opened.program());
 		long budget = Math.max(opened.budget(), 0);
-		if (parent != null) {
-			budget = parent.settle(budget);
+		if (parentId(opened.program()) != null) {
+			// Without a running parent there is no budget to take it from.
+			ProgramFold parent = parentOf(opened.program());
+			budget = (parent != null && parent.running()) ? parent.settle(budget) : 0;
 		}
 		this.programs.put(opened.program(), new ProgramFold(opened, budget));
 	}
@@ -314,13 +315,13 @@
 
 	// An ended program has returned its unspent budget, so what a late call of it used is
 	// charged to its parent as well.
-	private void charge(ProgramId id, ProgramFold program, long tokens) {
-		long charged = program.settle(tokens);
+	private long charge(ProgramId id, ProgramFold program, long tokens) {
 		ProgramFold parent = parentOf(id);
 		ProgramId parentId = parentId(id);
-		if (charged > 0 && !program.running() && parent != null && parentId != null) {
-			charge(parentId, parent, charged);
+		if (program.running() || parent == null || parentId == null) {
+			return program.settle(tokens);
 		}
+		return program.settle(charge(parentId, parent, Math.min(tokens, program.unspent())));
 	}
 
 	// An ended receiver passes the budget on because it can not spend it.
--- /dev/null
+++ b/core/src/test/java/org/hemlockgw/core/control/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests.
+ */
+@NullMarked
+package org.hemlockgw.core.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/hemlockgw/core/ledger/LedgerFoldTests.java
@@ -0,0 +1,187 @@
+package org.hemlockgw.core.ledger;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+
+import org.hemlockgw.core.common.ProgramId;
+import org.hemlockgw.core.common.ShardId;
+import org.hemlockgw.core.common.Verdict;
+import org.hemlockgw.core.ledger.LedgerRecord.Charged;
+import org.hemlockgw.core.ledger.LedgerRecord.Dispatched;
+import org.hemlockgw.core.ledger.LedgerRecord.Ended;
+import org.hemlockgw.core.ledger.LedgerRecord.EpochOpened;
+import org.hemlockgw.core.ledger.LedgerRecord.Granted;
+import org.hemlockgw.core.ledger.LedgerRecord.Intent;
+import org.hemlockgw.core.ledger.LedgerRecord.Opened;
+import org.hemlockgw.core.ledger.LedgerRecord.ProgramRecord;
+import org.hemlockgw.core.ledger.LedgerRecord.Seal;
+import org.hemlockgw.core.ledger.LedgerRecord.TurnCompleted;
+import org.hemlockgw.core.program.Message;
+import org.hemlockgw.core.program.ProgramState;
+import org.hemlockgw.core.program.Usage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+class LedgerFoldTests {
+
+	private static final Instant AT = Instant.parse("2026-01-01T00:00:00Z");
+
+	private static final ProgramId ROOT = new ProgramId("account", "root");
+
+	private static final ShardId SHARD = ROOT.shard();
+
+	private static final List<ProgramId> TREE = List.of(ROOT, ROOT.child(1), ROOT.child(2), ROOT.child(1).child(1));
+
+	// Guards against a program tree that spends more than the budget of its root.
+	@Property(seed = "11", tries = 1000, shrinking = ShrinkingMode.OFF)
+	void settledNeverExceedsGrantedNorGrantedTheBudget(@ForAll @IntRange(max = 1_000_000) int seed) {
+		Random random = new Random(seed);
+		LedgerFold fold = begin(LedgerFold.ofAllShards());
+		apply(fold, 0, opened(ROOT, 1000, 10));
+		for (int i = 1; i < 60; i++) {
+			apply(fold, i, randomRecord(random, i));
+			fold.programs().forEach(LedgerFoldTests::checkBudget);
+			checkConservation(fold.programs());
+		}
+		fold.forTakeOver().forEach((id, program) -> {
+			checkBudget(id, program);
+			if (program.state() == ProgramState.RUNNING) {
+				assertThat(program.settled()).isEqualTo(program.granted());
+			}
+		});
+	}
+
+	private static LedgerRecord randomRecord(Random random, int i) {
+		ProgramId program = TREE.get(random.nextInt(TREE.size()));
+		int amount = random.nextInt(400);
+		return switch (random.nextInt(5)) {
+			case 0 -> opened(program, amount, amount / 2);
+			case 1 -> new Granted(program, amount);
+			case 2 -> turn(program, "r" + i, amount);
+			case 3 -> new Charged(program, "r" + i, amount);
+			default ->
+				(program.equals(ROOT)) ? new Granted(program, amount) : new Ended(program, ProgramState.ENDED, AT);
+		};
+	}
+
+	private static void checkBudget(ProgramId id, ProgramRecord program) {
+		assertWithMessage("settled of %s", id).that(program.settled()).isAtLeast(0L);
+		assertWithMessage("granted of %s", id).that(program.granted()).isAtLeast(program.settled());
+		assertWithMessage("budget of %s", id).that(program.budget()).isAtLeast(program.granted());
+	}
+
+	// What a parent has settled covers the budgets of its running children.
+	private static void checkConservation(Map<ProgramId, ProgramRecord> programs) {
+		long children = 0;
+		for (int n = 1; n <= 2; n++) {
+			ProgramRecord child = programs.get(ROOT.child(n));
+			if (child != null) {
+				children += (child.state() == ProgramState.RUNNING) ? child.budget() : child.settled();
+			}
+		}
+		assertThat(program(programs, ROOT).settled()).isAtLeast(children);
+	}
+
+	// Guards against a child whose unspent budget is lost to its parent or returned
+	// twice.
+	@Example
+	void childIsChargedToItsParentAndReturnsWhatItDidNotSpend() {
+		LedgerFold fold = begin(LedgerFold.ofAllShards());
+		apply(fold, 0, opened(ROOT, 1000, 500), opened(ROOT.child(1), 300, 100));
+		assertThat(program(fold.programs(), ROOT).settled()).isEqualTo(300);
+		apply(fold, 1, turn(ROOT.child(1), "r1", 120));
+		Ended ended = new Ended(ROOT.child(1), ProgramState.ENDED, AT);
+		apply(fold, 2, ended, ended);
+		assertThat(program(fold.programs(), ROOT).settled()).isEqualTo(120);
+	}
+
+	// Guards against a turn that is counted twice because its batch was appended twice.
+	@Example
+	void batchAppendedTwiceCountsOnce() {
+		LedgerFold fold = begin(LedgerFold.ofAllShards());
+		LedgerBatch batch = new LedgerBatch("writer", 1, 0, List.of(new Charged(ROOT, "r", 30)));
+		apply(fold, 0, opened(ROOT, 1000, 500));
+		assertThat(fold.apply(batch)).isTrue();
+		assertThat(fold.apply(batch)).isFalse();
+		assertThat(program(fold.programs(), ROOT).settled()).isEqualTo(30);
+	}
+
+	// Guards against records of a fenced owner, and against losing those of a shard that
+	// came back to the same incarnation.
+	@Example
+	void recordsAfterASealAreVoidUntilAHigherEpochIsOpened() {
+		LedgerFold fold = begin(LedgerFold.ofShards(Map.of(SHARD, 1L)));
+		apply(fold, 0, new EpochOpened(Set.of(SHARD), 1, true), opened(ROOT, 1000, 500));
+		fold.apply(new LedgerBatch("successor", 0, 0, List.of(new Seal(Set.of(SHARD), 2, "successor"))));
+		apply(fold, 1, new Charged(ROOT, "void", 7));
+		assertThat(program(fold.programs(), ROOT).settled()).isEqualTo(0);
+		apply(fold, 2, new EpochOpened(Set.of(SHARD), 3, false), new Charged(ROOT, "counts", 5));
+		fold.apply(new LedgerBatch("successor", 1, 0, List.of(new Seal(Set.of(SHARD), 2, "successor"))));
+		apply(fold, 3, new Charged(ROOT, "late seal", 6));
+		assertThat(program(fold.programs(), ROOT).settled()).isEqualTo(11);
+	}
+
+	// Guards against a non-idempotent call that a successor sends again, and against an
+	// idempotent one that it gives up.
+	@Example
+	void takeOverClosesIntentsAndKeepsDispatchedTurnsOpen() {
+		LedgerFold fold = begin(LedgerFold.ofAllShards());
+		apply(fold, 0, opened(ROOT, 1000, 500), new Intent(ROOT, "publish", "d", 1, "service", AT),
+				new Dispatched(ROOT, "turn", "attempt", "engine", 0));
+		ProgramRecord program = program(fold.forTakeOver(), ROOT);
+		assertThat(program.outcomes().get(0).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(program.outcomes().get(1).verdict()).isNull();
+		assertThat(program.outcomes().get(1).open()).hasSize(1);
+		assertThat(program.lastStep()).isEqualTo(1);
+	}
+
+	// Guards against history that a checkpoint drops or doubles.
+	@Example
+	void checkpointReplacesEarlierRecords() {
+		LedgerFold fold = begin(LedgerFold.ofAllShards());
+		apply(fold, 0, opened(ROOT, 1000, 500), turn(ROOT, "r1", 10));
+		List<LedgerRecord> restated = new ArrayList<>();
+		restated.add(new EpochOpened(Set.of(SHARD), 0, true));
+		LedgerFold.checkpoints(fold.programs()).values().forEach(restated::addAll);
+		Map<ProgramId, ProgramRecord> before = fold.programs();
+		apply(fold, 1, restated.toArray(LedgerRecord[]::new));
+		assertThat(fold.programs()).isEqualTo(before);
+		apply(fold, 2, turn(ROOT, "r2", 10));
+		assertThat(program(fold.programs(), ROOT).messages()).hasSize(4);
+	}
+
+	private static LedgerFold begin(LedgerFold fold) {
+		fold.startLedger("writer");
+		return fold;
+	}
+
+	private static void apply(LedgerFold fold, long sequence, LedgerRecord... records) {
+		fold.apply(new LedgerBatch("writer", sequence, 0, List.of(records)));
+	}
+
+	private static ProgramRecord program(Map<ProgramId, ProgramRecord> programs, ProgramId id) {
+		return Objects.requireNonNull(programs.get(id));
+	}
+
+	private static Opened opened(ProgramId program, long budget, long granted) {
+		return new Opened(program, budget, granted, 65, AT, AT);
+	}
+
+	private static TurnCompleted turn(ProgramId program, String request, long tokens) {
+		return new TurnCompleted(program, request, 0, List.of(new Message("user", "q")), new Message("assistant", "a"),
+				new Usage(tokens, 0, 0), "stop", "engine", "digest", AT);
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/org/hemlockgw/core/ledger/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests.
+ */
+@NullMarked
+package org.hemlockgw.core.ledger;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/test/java/org/hemlockgw/core/membership/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests.
+ */
+@NullMarked
+package org.hemlockgw.core.membership;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/hemlockgw/daemon/ledger/CheckpointProgress.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/ledger/CheckpointProgress.java
@@ -87,9 +87,8 @@
 		return records;
 	}
 
-	// A shard in the middle of its take-over has no programs here yet, but has some in
-	// the
-	// ledgers of its predecessors, which a statement of no programs would make void.
+	// A shard whose take-over is not complete has no programs here yet, but has some in
+	// its predecessors' ledgers, which a statement of no programs would make void.
 	private void openEmptyShards(List<LedgerRecord> records) {
 		Map<ShardId, Long> stated = new TreeMap<>(this.fold.openEpochs());
 		stated.keySet().removeAll(this.waiting);
--- a/daemon/src/test/java/org/hemlockgw/daemon/sim/SimCluster.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/sim/SimCluster.java
@@ -86,13 +86,16 @@
 
 	/**
 	 * Tells whether each shard is served by exactly one daemon, as the control stream
-	 * says.
+	 * says, and none is about to be released.
 	 * @return true when no change is pending
 	 */
 	public boolean settled() {
 		Map<ShardId, Integer> servers = new HashMap<>();
 		ControlState state = state();
 		for (SimDaemon daemon : this.daemons.values()) {
+			if (!daemon.quiescing.isEmpty()) {
+				return false;
+			}
 			daemon.serving.keySet().forEach((shard) -> {
 				if (daemon.controller.incarnation().equals(state.shard(shard).incarnation())) {
 					servers.merge(shard, 1, Integer::sum);
--- a/daemon/src/test/java/org/hemlockgw/daemon/sim/SimDaemon.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/sim/SimDaemon.java
@@ -50,7 +50,7 @@
 
 	private final Set<ProgramId> opened = new HashSet<>();
 
-	private final Set<ShardId> quiescing = new HashSet<>();
+	final Set<ShardId> quiescing = new HashSet<>();
 
 	private final Map<ShardId, Integer> open = new HashMap<>();
 
--- /dev/null
+++ b/wire/src/test/java/org/hemlockgw/wire/codec/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests.
+ */
+@NullMarked
+package org.hemlockgw.wire.codec;
+
+import org.jspecify.annotations.NullMarked;
