Keep unsent idempotent calls out of checkpoints

Cause: the ledger's fold takes an open outcome without attempts for a non-idempotent intent, so a model turn that waited for its grant during a checkpoint would have been answered MAY_HAVE_RUN after a take-over. Change: toRecord leaves such calls out, and restored states treat an open outcome without attempts as MAY_HAVE_RUN.

--- a/core/src/main/java/org/hemlockgw/core/program/CallLog.java
+++ b/core/src/main/java/org/hemlockgw/core/program/CallLog.java
@@ -53,7 +53,8 @@
 	public static CallLog restored(List<Outcome> list, long lastStep) {
 		Map<String, Outcome> outcomes = new LinkedHashMap<>();
 		long last = lastStep;
-		for (Outcome outcome : list) {
+		for (Outcome listed : list) {
+			Outcome outcome = closed(listed);
 			if (outcome.verdict() != Verdict.NOT_RUN) {
 				outcomes.put(outcome.requestId(), outcome);
 			}
@@ -74,6 +75,26 @@
 		return (outcome == null || outcome.verdict() == null) ? null : outcome;
 	}
 
+	// An intent without an outcome is never sent again.
+	private static Outcome closed(Outcome outcome) {
+		if (outcome.verdict() != null || !outcome.open().isEmpty()) {
+			return outcome;
+		}
+		return new Outcome(outcome.requestId(), outcome.digest(), outcome.step(), Verdict.MAY_HAVE_RUN, List.of(), 0,
+				Usage.NONE, "", 0, new byte[0], "");
+	}
+
+	// Leaves out an idempotent call that was not sent: a successor would take it for an
+	// intent and answer that it may have run.
+	List<Outcome> durableOutcomes() {
+		RunningCall call = this.running;
+		return this.outcomes.values()
+			.stream()
+			.filter((outcome) -> call == null || !call.idempotent() || !outcome.open().isEmpty()
+					|| !outcome.requestId().equals(call.requestId()))
+			.toList();
+	}
+
 	CallLog started(RunningCall call) {
 		Outcome open = new Outcome(call.requestId(), call.digest(), call.step(), null, List.of(), 0, Usage.NONE, "", 0,
 				new byte[0], "");
--- a/core/src/main/java/org/hemlockgw/core/program/ProgramSnapshot.java
+++ b/core/src/main/java/org/hemlockgw/core/program/ProgramSnapshot.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -65,11 +64,16 @@
 				CallLog.restored(record.outcomes(), record.lastStep()), record.engine(), engines);
 	}
 
+	/**
+	 * Converts the state to its durable form.
+	 * @return the durable state; an open outcome without attempts in it is always that of
+	 * a non-idempotent call
+	 */
 	public ProgramRecord toRecord() {
 		return new ProgramRecord(this.budget.limit(), this.budget.granted(), this.budget.settled(), this.maxTurns,
 				this.openedAt, this.expiresAt, this.lastActivity, this.state, this.history.messages(),
 				this.history.tokens(), this.history.turns(), this.calls.lastStep(), this.engine,
-				List.copyOf(this.calls.outcomes().values()));
+				this.calls.durableOutcomes());
 	}
 
 	public ProgramView view() {
--- a/core/src/test/java/org/hemlockgw/core/program/CallTransitionsTests.java
+++ b/core/src/test/java/org/hemlockgw/core/program/CallTransitionsTests.java
@@ -134,6 +134,10 @@
 		CallRequest request = order("k1", 1);
 		Transition admitted = CallTransitions.admit(opened(65), request, RequestDigest.of(request), NOW);
 		assertThat(admitted.records().stream().filter(Intent.class::isInstance).count()).isEqualTo(1);
+		CallRequest idempotent = turn("k", 1, true, HELLO);
+		ProgramSnapshot unsent = CallTransitions.admit(opened(65), idempotent, "", NOW).state();
+		assertThat(unsent.toRecord().outcomes()).isEmpty();
+		assertThat(admitted.state().toRecord().outcomes()).hasSize(1);
 		ProgramSnapshot large = ran(opened(65), request, "x".repeat(CallLog.MAX_KEPT_BODY_BYTES + 1));
 		assertThat(refused(large, request).verdict()).isEqualTo(Verdict.RAN);
 		CallFailure lost = CallFailure.mayHaveRun(ErrorCode.BACKEND_FAILED, "lost");
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
@@ -103,9 +103,8 @@
 		}
 	}
 
-	// Ends a call that failed, and admits the next one. The reservation is charged when
-	// the
-	// last attempt may have used tokens.
+	// Ends a call that failed, and admits the next one. With charge, the last attempt may
+	// have used tokens and its reservation stays charged.
 	void failLocked(ProgramCell cell, LiveCall call, CallFailure failure, boolean charge) {
 		if (call.phase() == LiveCall.Phase.DONE) {
 			return;
--- a/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFixture.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFixture.java
@@ -23,7 +23,6 @@
 import org.hemlockgw.core.common.CallFailure;
 import org.hemlockgw.core.common.ProgramId;
 import org.hemlockgw.core.common.ShardId;
-import org.hemlockgw.core.common.Verdict;
 import org.hemlockgw.core.config.ClientAccount;
 import org.hemlockgw.core.config.Configuration;
 import org.hemlockgw.core.config.Limits;
@@ -31,7 +30,6 @@
 import org.hemlockgw.core.control.ControlRecord;
 import org.hemlockgw.core.dispatch.EngineChoice;
 import org.hemlockgw.core.dispatch.EngineQuery;
-import org.hemlockgw.core.ledger.LedgerRecord.Outcome;
 import org.hemlockgw.core.ledger.LedgerRecord.ProgramRecord;
 import org.hemlockgw.core.program.CallEvent;
 import org.hemlockgw.core.program.CallKind;
@@ -105,18 +103,13 @@
 	}
 
 	// Adopts what a take-over finds when the previous owner is lost: unsettled grants are
-	// spent, and open non-idempotent calls may have run.
+	// spent.
 	void adoptAfterLoss(Map<ProgramId, ProgramRecord> programs) {
 		programs.forEach((id, r) -> this.owner.adopt(id.shard(), 2,
-				Map.of(id, new ProgramRecord(r.budget(), r.granted(), r.granted(), r.maxTurns(), r.openedAt(),
-						r.expiresAt(), r.lastActivity(), r.state(), r.messages(), r.historyTokens(), r.turns(),
-						r.lastStep(), r.engine(), r.outcomes().stream().map(OwnerFixture::afterLoss).toList()))));
-	}
-
-	private static Outcome afterLoss(Outcome o) {
-		boolean order = o.verdict() == null && o.open().isEmpty();
-		return new Outcome(o.requestId(), o.digest(), o.step(), order ? Verdict.MAY_HAVE_RUN : o.verdict(), o.open(),
-				o.turn(), o.usage(), o.finishReason(), o.status(), o.body(), o.message());
+				Map.of(id,
+						new ProgramRecord(r.budget(), r.granted(), r.granted(), r.maxTurns(), r.openedAt(),
+								r.expiresAt(), r.lastActivity(), r.state(), r.messages(), r.historyTokens(), r.turns(),
+								r.lastStep(), r.engine(), r.outcomes()))));
 	}
 
 	CompletableFuture<Answer> turn(ProgramId id, String key, long step, List<Message> messages, int maxTokens) {
