--- a/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
@@ -125,8 +125,13 @@
 	@Example
 	void idleAndExpiredProgramsAreEnded() throws InterruptedException {
 		try (OwnerFixture f = new OwnerFixture()) {
+			ProgramId brief = new ProgramId("a", "q");
 			f.open(PROGRAM, 1000);
+			OwnerFixture.get(f.owner.open(new OpenProgram(brief, 1000, 5, Duration.ofMinutes(10))));
 			OwnerFixture.get(f.append(PROGRAM, "k1", 1, "hello", 2));
+			f.clockOffset = Duration.ofMinutes(11);
+			await(() -> OwnerFixture.get(f.owner.get(brief)).state() == ProgramState.EXPIRED);
+			assertThat(OwnerFixture.get(f.owner.get(PROGRAM)).state()).isEqualTo(ProgramState.RUNNING);
 			f.clockOffset = Duration.ofMinutes(61);
 			await(() -> f.dispatcher.released.equals(List.of("e1 a/p")));
 			assertThat(OwnerFixture.get(f.owner.get(PROGRAM)).state()).isEqualTo(ProgramState.EXPIRED);
--- a/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFixture.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFixture.java
@@ -99,7 +99,7 @@
 	}
 
 	ProgramView open(ProgramId id, long budget) {
-		return get(this.owner.open(new OpenProgram(id, budget, 65, Duration.ofHours(1))));
+		return get(this.owner.open(new OpenProgram(id, budget, 65, Duration.ofHours(2))));
 	}
 
 	// Adopts what a take-over finds when the previous owner is lost: unsettled grants are
