Count a stream that breaks on each resume as an engine death

The three resumes ran within a millisecond and ended as 'backend unavailable', which is no death. Resumes are now 400 ms apart, and a connection that breaks on the last one counts as a death; silence still does not. Ruled out: counting the first broken connection, since a cut connection to a healthy engine is common and would quarantine innocent content.

--- a/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
@@ -4,6 +4,8 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 
 import io.opentelemetry.api.trace.Span;
 import org.jspecify.annotations.Nullable;
@@ -28,6 +30,9 @@
 
 	private static final int MAX_RESUMES = 3;
 
+	/** Without a delay all resumes fell into the time in which a crashed engine restarts. */
+	private static final long RESUME_DELAY_MS = 400;
+
 	private final DispatchRequest request;
 
 	private final EventSink sink;
@@ -75,19 +80,37 @@
 					failure.getMessage()));
 		}
 		if (this.result.isDone() || resumes == 0) {
-			return CompletableFuture.failedFuture(CallFailure.mayHaveRun(ErrorCode.BACKEND_UNAVAILABLE,
-					"stream could not be resumed after " + MAX_RESUMES + " tries: " + failure.getMessage()));
+			return CompletableFuture.failedFuture(lost(failure));
+		}
+		return pause(resumes).thenCompose((done) -> {
+			span.addEvent("resume");
+			return client.resume(this.request.attemptId(), this.nextOffset, idle, this::deliver);
+		}).exceptionallyCompose((thrown) -> {
+			CallFailure next = CallFailure.of(thrown);
+			if (next.code() == ErrorCode.NOT_FOUND || next.verdict() == Verdict.NOT_RUN) {
+				return CompletableFuture.failedFuture(CallFailure.mayHaveRun(ErrorCode.BACKEND_FAILED,
+						"engine lost the stream: " + failure.getMessage()));
+			}
+			return recover(client, idle, next, resumes - 1, span);
+		});
+	}
+
+	private CompletableFuture<Void> pause(int resumes) {
+		if (resumes == MAX_RESUMES) {
+			return CompletableFuture.completedFuture(null);
 		}
-		span.addEvent("resume");
-		return client.resume(this.request.attemptId(), this.nextOffset, idle, this::deliver)
-			.exceptionallyCompose((thrown) -> {
-				CallFailure next = CallFailure.of(thrown);
-				if (next.code() == ErrorCode.NOT_FOUND || next.verdict() == Verdict.NOT_RUN) {
-					return CompletableFuture.failedFuture(CallFailure.mayHaveRun(ErrorCode.BACKEND_FAILED,
-							"engine lost the stream: " + failure.getMessage()));
-				}
-				return recover(client, idle, next, resumes - 1, span);
-			});
+		Executor later = CompletableFuture.delayedExecutor(RESUME_DELAY_MS, TimeUnit.MILLISECONDS, Runnable::run);
+		return CompletableFuture.runAsync(() -> {
+		}, later);
+	}
+
+	// A connection that breaks again and again means that the engine died behind a network
+	// device that still accepts connections. Silence alone proves no death.
+	private static CallFailure lost(CallFailure failure) {
+		ErrorCode code = (failure.code() == ErrorCode.BACKEND_FAILED) ? ErrorCode.BACKEND_FAILED
+				: ErrorCode.BACKEND_UNAVAILABLE;
+		return CallFailure.mayHaveRun(code,
+				"stream could not be resumed in " + MAX_RESUMES + " tries: " + failure.getMessage());
 	}
 
 	private synchronized void deliver(EngineChunk chunk) {
