Add system tests of the guarantees with daemons as processes

The guarantees had no proof across processes. The harness starts daemons as separate processes against embedded stand-ins, kills, pauses and stops them, and judges by the engines' and the service's own counters.

--- a/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/engine/EngineServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.jspecify.annotations.Nullable;
 
@@ -40,6 +41,8 @@
 	/** Released at a crash or close and when the engine is no longer mute. */
 	private volatile CountDownLatch muteEnd = new CountDownLatch(1);
 
+	private final AtomicInteger crashes = new AtomicInteger();
+
 	private volatile boolean closed;
 
 	public EngineServer(EngineOptions options, String address) {
@@ -74,8 +77,17 @@
 		return this.driver.apply((now) -> this.driver.model().stats(now));
 	}
 
+	/**
+	 * Returns how often the engine crashed.
+	 * @return crashes since the start
+	 */
+	public int crashes() {
+		return this.crashes.get();
+	}
+
 	/** Drops all connections and the cache, and starts again after the restart time. */
 	public void crash() {
+		this.crashes.incrementAndGet();
 		this.http.stop();
 		this.driver.crash();
 		endStalls();
--- /dev/null
+++ b/systemtest/src/test/java/org/hemlockgw/systemtest/ConfigurationTests.java
@@ -0,0 +1,90 @@
+package org.hemlockgw.systemtest;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+
+import org.hemlockgw.core.program.Message;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against daemons that disagree on the configuration, come late or go back (G10),
+ * and against a log outage that stops running programs.
+ */
+class ConfigurationTests {
+
+	@Test
+	void racingPatchesHaveOneWinnerEverywhereWithinTheBound() throws Exception {
+		try (TestSystem system = TestSystem.start(3, TestSystem.engine())) {
+			List<CompletableFuture<Boolean>> patches = new ArrayList<>();
+			for (int i = 1; i <= 8; i++) {
+				int weight = i;
+				patches.add(Caller.async(() -> {
+					system.patchWeight(1, weight);
+					return true;
+				}));
+			}
+			patches.forEach(CompletableFuture::join);
+			system.awaitVersion(2);
+			List<String> documents = new ArrayList<>();
+			for (DaemonProcess daemon : system.daemons.values()) {
+				assertThat(system.version(daemon)).isEqualTo(2);
+				documents.add(system.get(daemon.admin(), "/config").body());
+			}
+			assertThat(documents.stream().distinct().count()).isEqualTo(1);
+		}
+	}
+
+	@Test
+	void daemonStartedDuringALogOutageTakesTheVersionFromAPeerAndNoneGoesBack() throws Exception {
+		try (TestSystem system = TestSystem.start(2, TestSystem.engine())) {
+			system.patchWeight(1, 5);
+			system.awaitVersion(2);
+			system.log.set("{\"outage\":true}");
+			DaemonProcess late = system.launch("late");
+			system.daemons.put("late", late);
+			system.register(late);
+			Await.until("the late daemon has version 2", Duration.ofSeconds(30), () -> system.version(late) == 2);
+			system.log.set("{\"outage\":false}");
+			system.patchWeight(1, 9);
+			system.patchWeight(2, 7);
+			system.awaitVersion(3);
+			for (DaemonProcess daemon : system.daemons.values()) {
+				assertThat(system.version(daemon)).isEqualTo(3);
+			}
+		}
+	}
+
+	@Test
+	void runningProgramsGoOnDuringALogOutage() throws Exception {
+		try (TestSystem system = TestSystem.start(3, TestSystem.engine())) {
+			Caller caller = new Caller(TestSystem.KEY_A);
+			caller.openWhenReady(system.callers(), "p1", 1_000_000);
+			List<Message> history = new ArrayList<>(List.of(new Message("user", "before")));
+			Answer before = caller.turnUntilAnswered(system.callers(), "p1", "t0", history, 10);
+			history.add(new Message("assistant", before.text()));
+			system.log.set("{\"outage\":true}");
+			for (int turn = 1; turn <= 4; turn++) {
+				history.add(new Message("user", "during " + turn));
+				Answer answer = caller.turn(system.callers().get(turn % 3), "p1", "t" + turn, history, 10);
+				assertThat(answer.text()).isEqualTo(TestSystem.expected(history, 10));
+				assertThat(answer.ok()).isTrue();
+				history.add(new Message("assistant", answer.text()));
+			}
+			system.log.set("{\"outage\":false}");
+			Await.until("the turns are in the ledger", Duration.ofSeconds(20),
+					() -> caller.service(system.callers().get(0), "p1", "s-after", 0, "svc", false)
+						.verdict()
+						.equals("RAN"));
+			system.ownerOf("t4").kill();
+			history.add(new Message("user", "after"));
+			Answer after = caller.turnUntilAnswered(system.callers(), "p1", "t5", history, 10);
+			assertThat(after.text()).isEqualTo(TestSystem.expected(history, 10));
+		}
+	}
+
+}
