--- a/experiment/src/main/java/org/hemlockgw/experiment/Main.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/Main.java
@@ -3,6 +3,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
+import org.hemlockgw.experiment.capacity.CapacityCommand;
 import org.hemlockgw.experiment.policy.PolicyCommand;
 import org.hemlockgw.experiment.policy.RankingCommand;
 
@@ -10,7 +11,8 @@
  * Entry point of the load tool and the measurements.
  */
 @Command(name = "experiment", mixinStandardHelpOptions = true,
-		subcommands = { PolicyCommand.class, RankingCommand.class }, description = "Measurements of hemlockgw.")
+		subcommands = { CapacityCommand.class, PolicyCommand.class, RankingCommand.class },
+		description = "Measurements of hemlockgw.")
 public final class Main {
 
 	private Main() {
--- /dev/null
+++ b/experiment/src/test/java/org/hemlockgw/experiment/capacity/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the capacity measurements.
+ */
+@NullMarked
+package org.hemlockgw.experiment.capacity;
+
+import org.jspecify.annotations.NullMarked;
