--- a/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
@@ -30,7 +30,9 @@
 
 	private static final int MAX_RESUMES = 3;
 
-	/** Without a delay all resumes fell into the time in which a crashed engine restarts. */
+	/**
+	 * Without a delay all resumes fell into the time in which a crashed engine restarts.
+	 */
 	private static final long RESUME_DELAY_MS = 400;
 
 	private final DispatchRequest request;
@@ -104,7 +106,8 @@
 		}, later);
 	}
 
-	// A connection that breaks again and again means that the engine died behind a network
+	// A connection that breaks again and again means that the engine died behind a
+	// network
 	// device that still accepts connections. Silence alone proves no death.
 	private static CallFailure lost(CallFailure failure) {
 		ErrorCode code = (failure.code() == ErrorCode.BACKEND_FAILED) ? ErrorCode.BACKEND_FAILED
