--- a/core/src/main/java/org/hemlockgw/core/program/CallResult.java
+++ b/core/src/main/java/org/hemlockgw/core/program/CallResult.java
@@ -18,4 +18,8 @@
 		this(text, usage, finishReason, status, body, turn, true);
 	}
 
+	public CallResult withDurable(boolean value) {
+		return new CallResult(this.text, this.usage, this.finishReason, this.status, this.body, this.turn, value);
+	}
+
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ResultRelease.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ResultRelease.java
@@ -25,7 +25,7 @@
 					context.count("results.not_durable");
 					context.note(call, "not_durable", "the log is unavailable");
 				}
-				queue.closeLocked(cell, call, result, null);
+				queue.closeLocked(cell, call, result.withDurable(durable), null);
 			}
 		}, context.executor());
 	}
--- a/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
@@ -67,6 +67,7 @@
 			f.ledger.outage(true, 0.6);
 			OwnerFixture.Answer answer = OwnerFixture.get(f.append(PROGRAM, "k1", 1, "hello", 3));
 			assertThat(answer.events()).hasSize(3);
+			assertThat(answer.result().durable()).isFalse();
 			CallFailure order = OwnerFixture.failure(f.order(PROGRAM, "k2", 2, false));
 			assertThat(order.code()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
 			assertThat(order.verdict()).isEqualTo(Verdict.NOT_RUN);
--- a/experiment/src/main/java/org/hemlockgw/experiment/DemoCaller.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/DemoCaller.java
@@ -35,9 +35,9 @@
 
 	private static final long TOOL_PAUSE_MS = 1000;
 
-	private static final long OWNERSHIP_POLL_MS = 100;
+	private static final long POLL_MS = 100;
 
-	private static final int OWNERSHIP_POLLS = 300;
+	private static final int POLLS = 300;
 
 	@Option(names = "--callers", required = true, split = ",", description = "Caller listeners, first daemon first.")
 	private List<String> callers = List.of();
@@ -51,6 +51,9 @@
 	@Option(names = "--service", required = true, description = "Address of the plain service.")
 	private String service = "";
 
+	@Option(names = "--engines", required = true, split = ",", description = "Addresses of the engines.")
+	private List<String> engines = List.of();
+
 	@Option(names = "--account", required = true, description = "Client account.")
 	private String account = "";
 
@@ -91,6 +94,7 @@
 		JsonNode view = client.json("DELETE", "/v1/programs/" + program, "", Map.of());
 		System.out.println("answer: " + answer);
 		System.out.println("spending: " + view);
+		awaitRelease(client);
 		System.out.println("@trace " + trace);
 		return 0;
 	}
@@ -98,7 +102,7 @@
 	// The daemon that the script may kill is to be the entry and the owner of the
 	// program.
 	private String ownedByFirst(DemoClient client) throws IOException, InterruptedException {
-		for (int poll = 0; poll < OWNERSHIP_POLLS; poll++) {
+		for (int poll = 0; poll < POLLS; poll++) {
 			Set<Integer> shards = new HashSet<>();
 			client.read(this.admin, "/status").path("shards").fields().forEachRemaining((owner) -> {
 				if (owner.getKey().startsWith(this.first + "/")) {
@@ -110,7 +114,7 @@
 					return "show-" + n;
 				}
 			}
-			Thread.sleep(OWNERSHIP_POLL_MS);
+			Thread.sleep(POLL_MS);
 		}
 		throw new DemoClient.DemoFailure(this.first + " owns no shard");
 	}
@@ -156,6 +160,20 @@
 		}
 	}
 
+	private void awaitRelease(DemoClient client) throws IOException, InterruptedException {
+		for (String engine : this.engines) {
+			JsonNode sessions = client.read(engine, "/v1/cache/sessions");
+			for (int poll = 0; poll < POLLS && sessions.toString().contains(this.account); poll++) {
+				Thread.sleep(POLL_MS);
+				sessions = client.read(engine, "/v1/cache/sessions");
+			}
+			System.out.println("cache sessions of " + engine + ": " + sessions);
+			if (sessions.toString().contains(this.account)) {
+				throw new DemoClient.DemoFailure("the memory of an ended program is still held");
+			}
+		}
+	}
+
 	private static Map<String, String> headers(String program, String requestId) {
 		return Map.of("X-Hemlock-Program", program, "Idempotency-Key", requestId);
 	}
--- a/wire/src/test/java/org/hemlockgw/wire/PeerTransportTests.java
+++ b/wire/src/test/java/org/hemlockgw/wire/PeerTransportTests.java
@@ -95,14 +95,16 @@
 		});
 		FakeServices.Call secondCall = this.services.calls.take();
 
-		secondCall.result().complete(result("two"));
+		secondCall.result().complete(result("two").withDurable(false));
 		assertThat(second.get().text()).isEqualTo("two");
+		assertThat(second.get().durable()).isFalse();
 		assertThat(first.isDone()).isFalse();
 		firstCall.sink().accept(new CallEvent(0, 2, "on"));
 		firstCall.sink().accept(new CallEvent(2, 1, "e"));
 		firstCall.result().complete(result("one"));
 
 		assertThat(first.get().text()).isEqualTo("one");
+		assertThat(first.get().durable()).isTrue();
 		assertThat(firstEvents).containsExactly(new CallEvent(0, 2, "on"), new CallEvent(2, 1, "e")).inOrder();
 		assertThat(firstCall.request().messages()).containsExactly(new Message("user", "hej"));
 		assertThat(firstCall.request().deadline()).isEqualTo(Instant.ofEpochMilli(99));
