Cut control cost, share the log's append rate, and shed new programs

The capacity measurement showed half a core spent on choosing heartbeat targets at 350 daemons (203 ms for each 400 ms beat), 2.3 ms for each engine load update because Map.copyOf collides on names that differ in their last digits, and a fixed 5 ms batch interval that gives 70,000 appends a second at the target. Targets are now chosen only when the VM list or the incarnations change, large sections are unmodifiable HashMaps, and the batch interval follows the number of daemons (300 appends a second for all ledgers). Root programs are refused with OVERLOADED, NOT_RUN and a retry time when every engine that could serve them is known to be full. A program opened again under the name of an ended one was dropped by the ledger fold; it now replaces the ended one. Ruled out: a fixed longer interval, which would delay small deployments.

--- a/core/src/main/java/org/hemlockgw/core/config/Configuration.java
+++ b/core/src/main/java/org/hemlockgw/core/config/Configuration.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 
+import org.hemlockgw.core.common.ImmutableMaps;
+
 /**
  * One numbered, checked configuration version.
  *
@@ -20,9 +22,9 @@
 			Map.of(), Map.of());
 
 	public Configuration {
-		clientAccounts = Map.copyOf(clientAccounts);
-		dataCentres = Map.copyOf(dataCentres);
-		backendServers = Map.copyOf(backendServers);
+		clientAccounts = ImmutableMaps.copyOf(clientAccounts);
+		dataCentres = ImmutableMaps.copyOf(dataCentres);
+		backendServers = ImmutableMaps.copyOf(backendServers);
 	}
 
 }
--- a/core/src/main/java/org/hemlockgw/core/control/ControlFold.java
+++ b/core/src/main/java/org/hemlockgw/core/control/ControlFold.java
@@ -8,6 +8,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.core.common.ImmutableMaps;
 import org.hemlockgw.core.common.Incarnation;
 import org.hemlockgw.core.common.ShardId;
 import org.hemlockgw.core.control.ControlRecord.ClaimEngines;
@@ -85,8 +86,8 @@
 	 * @return an immutable state
 	 */
 	public ControlState state() {
-		return new ControlState(this.offset, Map.copyOf(this.incarnations), Map.copyOf(this.shards),
-				Map.copyOf(this.engines), Map.copyOf(this.quarantined));
+		return new ControlState(this.offset, ImmutableMaps.copyOf(this.incarnations), ImmutableMaps.copyOf(this.shards),
+				ImmutableMaps.copyOf(this.engines), ImmutableMaps.copyOf(this.quarantined));
 	}
 
 	/**
--- a/core/src/main/java/org/hemlockgw/core/ledger/LedgerFold.java
+++ b/core/src/main/java/org/hemlockgw/core/ledger/LedgerFold.java
@@ -275,7 +275,8 @@
 	}
 
 	private void open(Opened opened) {
-		if (this.programs.containsKey(opened.program())) {
+		ProgramFold known = this.programs.get(opened.program());
+		if (known != null && known.running()) {
 			return;
 		}
 		long budget = Math.max(opened.budget(), 0);
--- a/core/src/main/java/org/hemlockgw/core/schedule/ProgramAdmission.java
+++ b/core/src/main/java/org/hemlockgw/core/schedule/ProgramAdmission.java
@@ -26,19 +26,23 @@
 
 	/**
 	 * Decides on a new program.
-	 * @param loads loads of the engines that could serve it
+	 * @param loads loads of the engines that could serve it; those that do not answer are
+	 * left out
 	 * @return empty to admit it, else the time after which it may be tried again
 	 */
 	public static Optional<Duration> retryAfter(Collection<EngineLoad> loads) {
 		double least = Double.POSITIVE_INFINITY;
 		for (EngineLoad load : loads) {
+			if (load.inFlightLimit() == 0) {
+				continue;
+			}
 			double ratio = load.queued() / (double) Math.max(1, load.inFlightLimit());
 			if (ratio < FULL_QUEUE_RATIO) {
 				return Optional.empty();
 			}
 			least = Math.min(least, ratio);
 		}
-		if (loads.isEmpty()) {
+		if (least == Double.POSITIVE_INFINITY) {
 			return Optional.empty();
 		}
 		Duration wait = Duration.ofMillis((long) (least * REQUEST_SECONDS * 1_000));
--- a/core/src/test/java/org/hemlockgw/core/ledger/LedgerFoldTests.java
+++ b/core/src/test/java/org/hemlockgw/core/ledger/LedgerFoldTests.java
@@ -44,6 +44,19 @@
 
 	private static final List<ProgramId> TREE = List.of(ROOT, ROOT.child(1), ROOT.child(2), ROOT.child(1).child(1));
 
+	// Guards against the loss of a program that was opened again under the name of an
+	// ended
+	// one: its records were dropped because the ended one was still held.
+	@Example
+	void reopenedProgramReplacesTheEndedOne() {
+		LedgerFold fold = begin(LedgerFold.ofAllShards());
+		apply(fold, 0, opened(ROOT, 1000, 10));
+		apply(fold, 1, new Ended(ROOT, ProgramState.ENDED, AT));
+		apply(fold, 2, opened(ROOT, 500, 10));
+		assertThat(Objects.requireNonNull(fold.programs().get(ROOT)).state()).isEqualTo(ProgramState.RUNNING);
+		assertThat(Objects.requireNonNull(fold.programs().get(ROOT)).budget()).isEqualTo(500);
+	}
+
 	// Guards against a program tree that spends more than the budget of its root.
 	@Property(seed = "11", tries = 1000, shrinking = ShrinkingMode.OFF)
 	void settledNeverExceedsGrantedNorGrantedTheBudget(@ForAll @IntRange(max = 1_000_000) int seed) {
--- a/core/src/test/java/org/hemlockgw/core/schedule/EngineChoiceTests.java
+++ b/core/src/test/java/org/hemlockgw/core/schedule/EngineChoiceTests.java
@@ -11,6 +11,7 @@
 
 import org.hemlockgw.core.config.Policy;
 import org.hemlockgw.core.dispatch.EngineLoad;
+import org.hemlockgw.core.ledger.AppendShare;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -83,4 +84,13 @@
 				speed.decodeTokensPerSecond(), Instant.EPOCH);
 	}
 
+	@Example
+	void appendsOfAllDaemonsTogetherStayWithinTheLogsRate() {
+		for (int daemons : new int[] { 1, 9, 13, 350 }) {
+			Duration interval = AppendShare.interval(Duration.ofMillis(5), daemons);
+			double appends = daemons / (interval.toNanos() / 1e9);
+			assertThat(appends).isAtMost(AppendShare.LEDGER_APPENDS_PER_SECOND + 0.01);
+		}
+	}
+
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/Daemon.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/Daemon.java
@@ -14,6 +14,7 @@
 import org.hemlockgw.core.common.Incarnation;
 import org.hemlockgw.core.config.ConfigCodec;
 import org.hemlockgw.core.control.ControlRecord.Down;
+import org.hemlockgw.core.ledger.AppendShare;
 import org.hemlockgw.core.ledger.LedgerCodec;
 import org.hemlockgw.core.platform.LogService;
 import org.hemlockgw.daemon.admin.AdminServer;
@@ -115,7 +116,7 @@
 		this.tracing = new Tracing(settings.name());
 		this.log = new HttpLogService(settings.logAddress(), this.threads.worker());
 		LedgerCodec codec = new ProtobufLedgerCodec();
-		LedgerSettings ledgerSettings = LedgerSettings.DEFAULT.withBatchInterval(settings.batchInterval());
+		LedgerSettings ledgerSettings = LedgerSettings.DEFAULT.withBatchInterval(this::batchInterval);
 		this.ledger = new CurrentLedger(new Incarnation(settings.name(), randomId()),
 				(incarnation) -> new LedgerWriter(this.log, codec, incarnation, ledgerSettings,
 						this.threads.scheduler(), this.clock));
@@ -222,6 +223,11 @@
 		return new Readiness(true, "");
 	}
 
+	private Duration batchInterval() {
+		int daemons = this.blackboard.control().get().incarnations().size();
+		return AppendShare.interval(this.settings.batchInterval(), daemons);
+	}
+
 	private Incarnation incarnation() {
 		return this.ledger.writer().incarnation();
 	}
--- a/daemon/src/main/java/org/hemlockgw/daemon/control/MonitorController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/control/MonitorController.java
@@ -4,14 +4,12 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
 import org.jspecify.annotations.Nullable;
@@ -61,6 +59,8 @@
 
 	private @Nullable ScheduledFuture<?> beats;
 
+	private volatile @Nullable Chosen chosen;
+
 	/**
 	 * Creates a controller.
 	 * @param probe sends heartbeats
@@ -102,10 +102,7 @@
 
 	private void beat() {
 		ControlState state = this.board.control().get();
-		List<Vm> vms = Monitors.targets(this.self.get().vm(), state, this.board.vms().get().values());
-		Map<Incarnation, Vm> wanted = vms.stream()
-			.filter((vm) -> state.incarnations().containsKey(vm.name()))
-			.collect(Collectors.toMap((vm) -> state.incarnations().get(vm.name()), (vm) -> vm));
+		Map<Incarnation, Vm> wanted = wanted(state, this.board.vms().get());
 		Instant now = this.clock.instant();
 		synchronized (this.lock) {
 			Map<Incarnation, Target> next = new HashMap<>();
@@ -117,6 +114,27 @@
 		wanted.forEach((incarnation, vm) -> beat(incarnation, vm, now));
 	}
 
+	// Choosing the targets grows with the square of the daemons: 203 ms of processor time
+	// at
+	// 350 daemons, which is half a core when done for each heartbeat.
+	private Map<Incarnation, Vm> wanted(ControlState state, Map<String, Vm> vms) {
+		Incarnation own = this.self.get();
+		Chosen last = this.chosen;
+		if (last != null && last.by().equals(own) && last.vms().equals(vms)
+				&& last.incarnations().equals(state.incarnations())) {
+			return last.targets();
+		}
+		Map<Incarnation, Vm> targets = new HashMap<>();
+		for (Vm vm : Monitors.targets(own.vm(), state, vms.values())) {
+			Incarnation current = state.incarnations().get(vm.name());
+			if (current != null) {
+				targets.put(current, vm);
+			}
+		}
+		this.chosen = new Chosen(own, vms, state.incarnations(), Map.copyOf(targets));
+		return targets;
+	}
+
 	private void beat(Incarnation incarnation, Vm vm, Instant now) {
 		synchronized (this.lock) {
 			Target target = this.targets.getOrDefault(incarnation, new Target(now, 0));
@@ -163,4 +181,16 @@
 
 	}
 
+	/**
+	 * Chosen targets and what they were chosen from.
+	 *
+	 * @param by the monitoring incarnation
+	 * @param vms the VM list
+	 * @param incarnations incarnations by VM
+	 * @param targets what to monitor
+	 */
+	private record Chosen(Incarnation by, Map<String, Vm> vms, Map<String, Incarnation> incarnations,
+			Map<Incarnation, Vm> targets) {
+	}
+
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/dispatch/EngineLane.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/dispatch/EngineLane.java
@@ -15,6 +15,7 @@
 
 import org.hemlockgw.core.common.CallFailure;
 import org.hemlockgw.core.common.ErrorCode;
+import org.hemlockgw.core.common.ImmutableMaps;
 import org.hemlockgw.core.common.Verdict;
 import org.hemlockgw.core.config.BackendServer;
 import org.hemlockgw.core.config.ClientAccount;
@@ -301,7 +302,7 @@
 	static Map<String, EngineLoad> withLoad(Map<String, EngineLoad> loads, EngineLoad load) {
 		Map<String, EngineLoad> next = new HashMap<>(loads);
 		next.put(load.engine(), load);
-		return Map.copyOf(next);
+		return ImmutableMaps.copyOf(next);
 	}
 
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/ledger/LedgerWriter.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/ledger/LedgerWriter.java
@@ -269,7 +269,7 @@
 			}
 			Instant now = this.clock.instant();
 			Duration rest = (this.lastStart == Instant.MIN) ? Duration.ZERO
-					: Duration.between(now, this.lastStart.plus(this.settings.batchInterval()));
+					: Duration.between(now, this.lastStart.plus(this.settings.batchInterval().get()));
 			if (rest.compareTo(Duration.ZERO) > 0) {
 				this.timerSet = true;
 				this.scheduler.schedule(this::onTimer, rest.toNanos(), TimeUnit.NANOSECONDS);
--- a/daemon/src/main/java/org/hemlockgw/daemon/membership/VmListController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/membership/VmListController.java
@@ -11,6 +11,7 @@
 import com.google.common.flogger.FluentLogger;
 
 import org.hemlockgw.core.blackboard.Blackboard;
+import org.hemlockgw.core.common.ImmutableMaps;
 import org.hemlockgw.core.membership.Vm;
 import org.hemlockgw.core.platform.VmList;
 
@@ -92,7 +93,7 @@
 		Map<String, Vm> byName = new TreeMap<>();
 		list.forEach((vm) -> byName.put(vm.name(), vm));
 		if (!byName.equals(this.blackboard.vms().get())) {
-			this.blackboard.vms().set(Map.copyOf(byName));
+			this.blackboard.vms().set(ImmutableMaps.copyOf(byName));
 		}
 		this.first.complete(this.blackboard.vms().get());
 	}
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
@@ -15,6 +15,7 @@
 
 import org.hemlockgw.core.common.CallFailure;
 import org.hemlockgw.core.common.ErrorCode;
+import org.hemlockgw.core.common.ImmutableMaps;
 import org.hemlockgw.core.common.Verdict;
 import org.hemlockgw.core.dispatch.DispatchRequest;
 import org.hemlockgw.core.dispatch.DispatchResult;
@@ -276,7 +277,7 @@
 			}
 			Map<String, EngineLoad> next = new HashMap<>(loads);
 			next.put(load.engine(), load);
-			return Map.copyOf(next);
+			return ImmutableMaps.copyOf(next);
 		});
 	}
 
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
@@ -4,8 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 import org.jspecify.annotations.Nullable;
@@ -14,15 +16,21 @@
 import org.hemlockgw.core.common.ErrorCode;
 import org.hemlockgw.core.common.ProgramId;
 import org.hemlockgw.core.common.Verdict;
+import org.hemlockgw.core.config.BackendKind;
+import org.hemlockgw.core.config.BackendServer;
 import org.hemlockgw.core.config.ClientAccount;
 import org.hemlockgw.core.config.Limits;
+import org.hemlockgw.core.dispatch.EngineLoad;
 import org.hemlockgw.core.ledger.LedgerRecord;
+import org.hemlockgw.core.membership.BackendAvailability;
+import org.hemlockgw.core.membership.Vm;
 import org.hemlockgw.core.program.OpenProgram;
 import org.hemlockgw.core.program.ProgramSnapshot;
 import org.hemlockgw.core.program.ProgramState;
 import org.hemlockgw.core.program.ProgramTransitions;
 import org.hemlockgw.core.program.ProgramView;
 import org.hemlockgw.core.program.Transition;
+import org.hemlockgw.core.schedule.ProgramAdmission;
 
 /**
  * Opens and ends programs. Methods whose name ends in {@code Locked} are called under the
@@ -38,6 +46,9 @@
 	/** Ended programs answer repeats of their calls for this long. */
 	private static final Duration ENDED_RETENTION = Duration.ofMinutes(10);
 
+	/** Older loads say nothing about the next call. */
+	private static final Duration LOAD_VALIDITY = Duration.ofSeconds(5);
+
 	private final OwnerContext context;
 
 	private final LedgerWriter writer;
@@ -66,6 +77,9 @@
 		ProgramTransitions.check(command, account, this.context.configuration().limits());
 		requireLog();
 		ProgramCell parent = parent(slot, command.id());
+		if (parent == null) {
+			requireEngines(account);
+		}
 		ProgramSnapshot before = (parent != null) ? parent.state() : null;
 		ProgramTransitions.Opening opening = ProgramTransitions.open(command, before, this.context.now());
 		if (!this.counts.tryAdd(account.name(), account.maxPrograms())) {
@@ -101,6 +115,31 @@
 		}
 	}
 
+	// An engine whose load is not known lately counts as free.
+	private void requireEngines(ClientAccount account) {
+		Map<String, EngineLoad> known = this.context.blackboard().engineLoads().get();
+		Map<String, Vm> vms = this.context.blackboard().vms().get();
+		Instant oldest = this.context.now().minus(LOAD_VALIDITY);
+		List<EngineLoad> loads = new ArrayList<>();
+		for (BackendServer server : this.context.configuration().backendServers().values()) {
+			boolean serves = server.kind() == BackendKind.ENGINE && BackendAvailability.acceptsWork(server, vms)
+					&& !Collections.disjoint(server.models(), account.models());
+			if (!serves) {
+				continue;
+			}
+			EngineLoad load = known.get(server.name());
+			if (load == null || load.at().isBefore(oldest)) {
+				return;
+			}
+			loads.add(load);
+		}
+		Duration wait = ProgramAdmission.retryAfter(loads).orElse(null);
+		if (wait != null) {
+			throw new CallFailure(ErrorCode.OVERLOADED, Verdict.NOT_RUN,
+					"every engine for the models of client account '" + account.name() + "' is full", wait);
+		}
+	}
+
 	private static @Nullable ProgramCell parent(ShardSlot slot, ProgramId id) {
 		ProgramId parentId = ProgramTransitions.parent(id);
 		if (parentId == null) {
