Announce a shutdown on the control stream so that released shards move at once

A daemon that drains without being marked as leaving in the VM list stayed in the assignment, so nobody claimed the shards that it released and their calls waited until its last open stream had ended. It now appends a Draining record, and the assignment leaves it out. Ruled out: reporting the daemon down at the start of the drain, which would seal its ledger and cut open calls.

--- a/core/src/main/java/org/hemlockgw/core/control/ControlFold.java
+++ b/core/src/main/java/org/hemlockgw/core/control/ControlFold.java
@@ -3,8 +3,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -14,6 +16,7 @@
 import org.hemlockgw.core.control.ControlRecord.ClaimEngines;
 import org.hemlockgw.core.control.ControlRecord.ClaimShards;
 import org.hemlockgw.core.control.ControlRecord.Down;
+import org.hemlockgw.core.control.ControlRecord.Draining;
 import org.hemlockgw.core.control.ControlRecord.Quarantine;
 import org.hemlockgw.core.control.ControlRecord.ReleaseEngines;
 import org.hemlockgw.core.control.ControlRecord.ReleaseShards;
@@ -34,6 +37,8 @@
 
 	private final Map<String, Quarantine> quarantined;
 
+	private final Set<String> draining;
+
 	private long offset;
 
 	public ControlFold(ControlState from) {
@@ -42,6 +47,7 @@
 		this.shards = new HashMap<>(from.shards());
 		this.engines = new HashMap<>(from.engines());
 		this.quarantined = new HashMap<>(from.quarantined());
+		this.draining = new HashSet<>(from.draining());
 	}
 
 	/**
@@ -73,6 +79,9 @@
 		else if (record instanceof ReleaseEngines release) {
 			release.engines().forEach((engine) -> releaseEngine(engine, release.by()));
 		}
+		else if (record instanceof Draining drain && current(drain.incarnation())) {
+			this.draining.add(drain.incarnation().vm());
+		}
 		else if (record instanceof Down down) {
 			remove(down.incarnation());
 		}
@@ -87,7 +96,7 @@
 	 */
 	public ControlState state() {
 		return new ControlState(this.offset, ImmutableMaps.copyOf(this.incarnations), ImmutableMaps.copyOf(this.shards),
-				ImmutableMaps.copyOf(this.engines), ImmutableMaps.copyOf(this.quarantined));
+				ImmutableMaps.copyOf(this.engines), ImmutableMaps.copyOf(this.quarantined), Set.copyOf(this.draining));
 	}
 
 	/**
@@ -114,10 +123,13 @@
 			remove(earlier);
 		}
 		this.incarnations.put(started.vm(), started);
+		this.draining.remove(started.vm());
 	}
 
 	private void remove(Incarnation gone) {
-		this.incarnations.remove(gone.vm(), gone);
+		if (this.incarnations.remove(gone.vm(), gone)) {
+			this.draining.remove(gone.vm());
+		}
 		this.shards.replaceAll((shard, holder) -> gone.equals(holder.incarnation()) ? free(holder) : holder);
 		this.engines.replaceAll((engine, holder) -> gone.equals(holder.incarnation()) ? free(holder) : holder);
 	}
--- a/core/src/main/java/org/hemlockgw/core/control/ControlRecord.java
+++ b/core/src/main/java/org/hemlockgw/core/control/ControlRecord.java
@@ -39,6 +39,10 @@
 	record ReleaseEngines(Incarnation by, Set<String> engines) implements ControlRecord {
 	}
 
+	/** A daemon shuts down: it takes no new shards or engines and releases its own. */
+	record Draining(Incarnation incarnation, Instant at) implements ControlRecord {
+	}
+
 	/** An incarnation was seen to be unreachable. */
 	record Down(Incarnation incarnation, String reportedBy, String reason, Instant at) implements ControlRecord {
 	}
--- a/core/src/main/java/org/hemlockgw/core/control/ControlState.java
+++ b/core/src/main/java/org/hemlockgw/core/control/ControlState.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.core.control;
 
 import java.util.Map;
+import java.util.Set;
 
 import org.hemlockgw.core.common.Incarnation;
 import org.hemlockgw.core.common.ShardId;
@@ -14,12 +15,13 @@
  * @param shards holders by shard; a shard never claimed is missing
  * @param engines holders by engine name
  * @param quarantined quarantine records by digest
+ * @param draining VM names of daemons that shut down
  */
 public record ControlState(long offset, Map<String, Incarnation> incarnations, Map<ShardId, Holder> shards,
-		Map<String, Holder> engines, Map<String, ControlRecord.Quarantine> quarantined) {
+		Map<String, Holder> engines, Map<String, ControlRecord.Quarantine> quarantined, Set<String> draining) {
 
 	/** Fold of an empty stream. */
-	public static final ControlState EMPTY = new ControlState(0, Map.of(), Map.of(), Map.of(), Map.of());
+	public static final ControlState EMPTY = new ControlState(0, Map.of(), Map.of(), Map.of(), Map.of(), Set.of());
 
 	public Holder shard(ShardId shard) {
 		return this.shards.getOrDefault(shard, Holder.NONE);
--- a/core/src/main/java/org/hemlockgw/core/membership/Assignment.java
+++ b/core/src/main/java/org/hemlockgw/core/membership/Assignment.java
@@ -38,7 +38,7 @@
 	public static Assignment of(ControlState state, Collection<Vm> vms, @Nullable Assignment earlier) {
 		List<Vm> daemons = vms.stream()
 			.filter((vm) -> vm.kind() == VmKind.ENTRY && vm.state() == VmState.LIVE)
-			.filter((vm) -> state.incarnations().containsKey(vm.name()))
+			.filter((vm) -> state.incarnations().containsKey(vm.name()) && !state.draining().contains(vm.name()))
 			.sorted(Comparator.comparing(Vm::name))
 			.toList();
 		return (earlier != null && earlier.daemons.equals(daemons)) ? earlier : new Assignment(daemons);
--- a/core/src/test/java/org/hemlockgw/core/membership/AssignmentTests.java
+++ b/core/src/test/java/org/hemlockgw/core/membership/AssignmentTests.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -122,7 +123,7 @@
 	private static ControlState state(List<Vm> vms) {
 		Map<String, Incarnation> incarnations = new HashMap<>();
 		vms.forEach((vm) -> incarnations.put(vm.name(), new Incarnation(vm.name(), "i")));
-		return new ControlState(0, incarnations, Map.of(), Map.of(), Map.of());
+		return new ControlState(0, incarnations, Map.of(), Map.of(), Map.of(), Set.of());
 	}
 
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/control/ControlController.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/control/ControlController.java
@@ -25,6 +25,7 @@
 import org.hemlockgw.core.control.ControlRecord;
 import org.hemlockgw.core.control.ControlRecord.ClaimEngines;
 import org.hemlockgw.core.control.ControlRecord.ClaimShards;
+import org.hemlockgw.core.control.ControlRecord.Draining;
 import org.hemlockgw.core.control.ControlRecord.ReleaseEngines;
 import org.hemlockgw.core.control.ControlRecord.ReleaseShards;
 import org.hemlockgw.core.control.ControlRecord.Started;
@@ -205,6 +206,13 @@
 		this.assignment = Assignment.of(state, this.board.vms().get().values(), this.assignment);
 		OwnershipPlan plan = this.draining ? OwnershipPlan.releaseAll(this.self, state)
 				: OwnershipPlan.of(this.self, state, this.board.vms().get(), this.assignment, engines());
+		if (this.draining && !state.draining().contains(this.self.vm())) {
+			// Without this notice the assignment keeps giving the released shards to this
+			// daemon,
+			// and their calls wait until its last open call has ended.
+			this.gates.draining()
+				.tryAppend(state.offset(), () -> append(new Draining(this.self, this.clock.instant())));
+		}
 		if (!this.draining) {
 			this.takeOvers.start(state, this.self, this.ledger.writer());
 		}
--- a/daemon/src/main/java/org/hemlockgw/daemon/control/Gates.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/control/Gates.java
@@ -8,11 +8,14 @@
  * @param releaseShards gate of releases of shards
  * @param claimEngines gate of claims of engines
  * @param releaseEngines gate of releases of engines
+ * @param draining gate of the notice of a shutdown
  */
-record Gates(Gate started, Gate claimShards, Gate releaseShards, Gate claimEngines, Gate releaseEngines) {
+record Gates(Gate started, Gate claimShards, Gate releaseShards, Gate claimEngines, Gate releaseEngines,
+		Gate draining) {
 
 	static Gates create(Object lock) {
-		return new Gates(new Gate(lock), new Gate(lock), new Gate(lock), new Gate(lock), new Gate(lock));
+		return new Gates(new Gate(lock), new Gate(lock), new Gate(lock), new Gate(lock), new Gate(lock),
+				new Gate(lock));
 	}
 
 }
--- a/daemon/src/test/java/org/hemlockgw/daemon/admin/AdminServerTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/admin/AdminServerTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -96,7 +97,7 @@
 		Holder holder = new Holder(3, SELF, true, Instant.EPOCH, List.of());
 		this.blackboard.control()
 			.set(new ControlState(1, Map.of("entry-1", SELF), Map.of(new ShardId(7), holder, new ShardId(2), holder),
-					Map.of("e1", holder), Map.of()));
+					Map.of("e1", holder), Map.of(), Set.of()));
 		JsonNode status = json("/status");
 		assertThat(status.path("shards").path("entry-1/i1").toString()).isEqualTo("[2,7]");
 		assertThat(status.path("engines").path(0).path("dispatcher")).isEqualTo(status.path("incarnation"));
--- a/daemon/src/test/java/org/hemlockgw/daemon/routing/FakeCluster.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/routing/FakeCluster.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.hemlockgw.core.blackboard.Blackboard;
 import org.hemlockgw.core.common.Incarnation;
@@ -48,7 +49,8 @@
 	}
 
 	private static ControlState control(Map<ShardId, Holder> shards, Map<String, Holder> engines) {
-		return new ControlState(0, Map.of("vm-0", SELF, "vm-1", FIRST, "vm-2", SECOND), shards, engines, Map.of());
+		return new ControlState(0, Map.of("vm-0", SELF, "vm-1", FIRST, "vm-2", SECOND), shards, engines, Map.of(),
+				Set.of());
 	}
 
 	private static Vm vm(String name) {
--- a/systemtest/src/test/java/org/hemlockgw/systemtest/TestSystem.java
+++ b/systemtest/src/test/java/org/hemlockgw/systemtest/TestSystem.java
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -171,6 +172,22 @@
 		return owner[0];
 	}
 
+	/**
+	 * Counts the shards of a daemon as another one sees them.
+	 * @param owner the daemon
+	 * @param observer who is asked
+	 * @return the number of shards
+	 */
+	int shardsOf(DaemonProcess owner, DaemonProcess observer) throws IOException, InterruptedException {
+		int shards = 0;
+		Iterator<Map.Entry<String, JsonNode>> owners = status(observer).path("shards").properties().iterator();
+		while (owners.hasNext()) {
+			Map.Entry<String, JsonNode> entry = owners.next();
+			shards += entry.getKey().startsWith(owner.name() + "/") ? entry.getValue().size() : 0;
+		}
+		return shards;
+	}
+
 	/**
 	 * Finds the engine that runs a request.
 	 * @return its name
--- a/wire/src/main/java/org/hemlockgw/wire/codec/ProtobufControlCodec.java
+++ b/wire/src/main/java/org/hemlockgw/wire/codec/ProtobufControlCodec.java
@@ -14,6 +14,7 @@
 import org.hemlockgw.core.control.ControlRecord.ClaimEngines;
 import org.hemlockgw.core.control.ControlRecord.ClaimShards;
 import org.hemlockgw.core.control.ControlRecord.Down;
+import org.hemlockgw.core.control.ControlRecord.Draining;
 import org.hemlockgw.core.control.ControlRecord.Quarantine;
 import org.hemlockgw.core.control.ControlRecord.ReleaseEngines;
 import org.hemlockgw.core.control.ControlRecord.ReleaseShards;
@@ -21,6 +22,7 @@
 import org.hemlockgw.core.control.ControlRecord.TakeOverCompleted;
 import org.hemlockgw.generated.ledger.ControlProto;
 import org.hemlockgw.generated.ledger.DownProto;
+import org.hemlockgw.generated.ledger.DrainingProto;
 import org.hemlockgw.generated.ledger.EngineEpochsProto;
 import org.hemlockgw.generated.ledger.QuarantineProto;
 import org.hemlockgw.generated.ledger.ReleaseEnginesProto;
@@ -56,6 +58,10 @@
 			out.setIncarnation(Values.incarnation(r.by()))
 				.setReleaseEngines(ReleaseEnginesProto.newBuilder().addAllEngines(r.engines()));
 		}
+		else if (record instanceof Draining r) {
+			out.setIncarnation(Values.incarnation(r.incarnation()))
+				.setDraining(DrainingProto.newBuilder().setAt(Values.time(r.at())));
+		}
 		else if (record instanceof Down r) {
 			out.setIncarnation(Values.incarnation(r.incarnation()))
 				.setDown(DownProto.newBuilder()
@@ -93,6 +99,7 @@
 			case CLAIM_ENGINES -> new ClaimEngines(by, Map.copyOf(in.getClaimEngines().getEpochsMap()),
 					Values.time(in.getClaimEngines().getAt()));
 			case RELEASE_ENGINES -> new ReleaseEngines(by, Set.copyOf(in.getReleaseEngines().getEnginesList()));
+			case DRAINING -> new Draining(by, Values.time(in.getDraining().getAt()));
 			case DOWN ->
 				new Down(by, in.getDown().getReportedBy(), in.getDown().getReason(), Values.time(in.getDown().getAt()));
 			case QUARANTINE -> new Quarantine(in.getQuarantine().getDigest(), in.getQuarantine().getReason(),
