--- a/experiment/src/main/java/org/hemlockgw/experiment/policy/Workload.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/policy/Workload.java
@@ -22,7 +22,9 @@
 
 	private static final int ACCOUNTS = 6;
 
-	private final Random random;
+	private final long seed;
+
+	private Random random = new Random(0);
 
 	private final double programsPerSecond;
 
@@ -38,7 +40,7 @@
 	 * @param floodFactor how many times its share account 0 offers
 	 */
 	Workload(long seed, double programsPerSecond, double seconds, double floodFactor) {
-		this.random = new Random(seed);
+		this.seed = seed;
 		this.programsPerSecond = programsPerSecond;
 		this.seconds = seconds;
 		this.floodFactor = floodFactor;
@@ -47,6 +49,10 @@
 	List<ProgramSpec> generate() {
 		List<ProgramSpec> programs = new ArrayList<>();
 		for (int account = 0; account < ACCOUNTS; account++) {
+			// Each account has numbers of its own, so that a flood of one leaves the
+			// programs of
+			// the others as they are.
+			this.random = new Random(this.seed * ACCOUNTS + account);
 			double rate = this.programsPerSecond / ACCOUNTS * ((account == 0) ? this.floodFactor : 1);
 			double at = exponential(1 / rate);
 			for (int n = 0; at < this.seconds; n++) {
