Name the owner's record writer and turn attempt apart from the ledger's and dispatcher's

Two classes named LedgerWriter and two named Attempt stood in neighbouring packages, so a reader had to check the import each time. The owner's are now RecordWriter and TurnAttempt.

--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
@@ -33,11 +33,11 @@
 
 	private final OwnerContext context;
 
-	private final LedgerWriter writer;
+	private final RecordWriter writer;
 
 	private final Starter starter;
 
-	CallQueue(OwnerContext context, LedgerWriter writer, Starter starter) {
+	CallQueue(OwnerContext context, RecordWriter writer, Starter starter) {
 		this.context = context;
 		this.writer = writer;
 		this.starter = starter;
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/CrashGuard.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/CrashGuard.java
@@ -31,7 +31,7 @@
 	}
 
 	// Counts an engine death. Returns true when the content is quarantined because of it.
-	boolean died(Attempt attempt) {
+	boolean died(TurnAttempt attempt) {
 		Instant now = this.context.now();
 		if (!this.context.suspects().died(this.digest, attempt.engine(), attempt.startedAt(), now)) {
 			return false;
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
@@ -49,7 +49,7 @@
 
 	private final OwnerContext context;
 
-	private final LedgerWriter writer;
+	private final RecordWriter writer;
 
 	private final CallQueue queue;
 
@@ -69,7 +69,7 @@
 
 	private int handBacks;
 
-	ModelTurn(OwnerContext context, LedgerWriter writer, CallQueue queue, ProgramCell cell, LiveCall call,
+	ModelTurn(OwnerContext context, RecordWriter writer, CallQueue queue, ProgramCell cell, LiveCall call,
 			RunningCall admitted) {
 		this.context = context;
 		this.writer = writer;
@@ -126,13 +126,13 @@
 			return;
 		}
 		String engine = choice.get().engine();
-		Attempt attempt;
+		TurnAttempt attempt;
 		DispatchRequest request;
 		synchronized (this.cell.slot()) {
 			if (this.call.phase() != LiveCall.Phase.ADMITTED) {
 				return;
 			}
-			attempt = new Attempt(engine, this.context.now(), this.call.deadline());
+			attempt = new TurnAttempt(engine, this.context.now(), this.call.deadline());
 			AnswerStream.Prefix prefix = this.call.answer().begin(attempt);
 			this.call.phase(LiveCall.Phase.SENT);
 			if (prefix.tokens() >= this.call.request().maxTokens()) {
@@ -167,7 +167,7 @@
 					state.history().tokens(), without));
 	}
 
-	private DispatchRequest request(Attempt attempt, AnswerStream.Prefix prefix, long cachedTokens) {
+	private DispatchRequest request(TurnAttempt attempt, AnswerStream.Prefix prefix, long cachedTokens) {
 		return new DispatchRequest(this.cell.id(), attempt.id(), attempt.engine(), this.call.request().target(),
 				this.prompt, prefix.text(), prefix.tokens(), this.call.request().maxTokens(),
 				this.cell.state().budget().settled(), this.promptTokens, cachedTokens, this.crashes.suspect(),
@@ -177,7 +177,7 @@
 	// The engine died after the last token, so that nothing is left to generate. Its
 	// usage
 	// is unknown and charged in full.
-	private void completeFromPrefixLocked(Attempt attempt, AnswerStream.Prefix prefix) {
+	private void completeFromPrefixLocked(TurnAttempt attempt, AnswerStream.Prefix prefix) {
 		RunningCall admitted = this.cell.state().calls().running();
 		long reserved = (admitted != null) ? admitted.reserved() : 0;
 		Usage usage = new Usage(reserved - prefix.tokens(), 0, prefix.tokens());
@@ -185,7 +185,7 @@
 		finishLocked(attempt.engine(), prefix.text(), usage, "length");
 	}
 
-	private void send(DispatchRequest request, Attempt attempt) {
+	private void send(DispatchRequest request, TurnAttempt attempt) {
 		CompletableFuture<DispatchResult> sent;
 		try {
 			sent = this.context.dispatcher()
@@ -207,11 +207,11 @@
 		watchStall(attempt);
 	}
 
-	private void watchStall(Attempt attempt) {
+	private void watchStall(TurnAttempt attempt) {
 		Duration left = Duration.between(this.context.now(), attempt.stalledAt());
 		// Short steps, because a timer keeps the prompt in memory after the call has
 		// ended.
-		Duration step = (left.compareTo(Attempt.MAX_SILENCE) < 0) ? left : Attempt.MAX_SILENCE;
+		Duration step = (left.compareTo(TurnAttempt.MAX_SILENCE) < 0) ? left : TurnAttempt.MAX_SILENCE;
 		this.context.after(step, () -> guarded(() -> {
 			if (attempt.ended()) {
 				return;
@@ -228,7 +228,7 @@
 		}));
 	}
 
-	private void succeeded(Attempt attempt, DispatchResult result) {
+	private void succeeded(TurnAttempt attempt, DispatchResult result) {
 		updateLoad(result.load());
 		String text = this.call.answer().finish(attempt, result.text(), result.usage().completionTokens());
 		if (text == null) {
@@ -281,7 +281,7 @@
 		});
 	}
 
-	private void failed(@Nullable Attempt attempt, CallFailure failure) {
+	private void failed(@Nullable TurnAttempt attempt, CallFailure failure) {
 		boolean ran = failure.verdict() != Verdict.NOT_RUN;
 		if (attempt != null) {
 			this.excluded.add(attempt.engine());
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/OwnerService.java
@@ -67,7 +67,7 @@
 
 	private final OwnerContext context;
 
-	private final LedgerWriter writer;
+	private final RecordWriter writer;
 
 	private final CallQueue queue;
 
@@ -85,7 +85,7 @@
 			InstantSource clock, MetricRegistry metrics) {
 		this.context = new OwnerContext(ledger, dispatcher, chooser, services, blackboard, control, journal, tracing,
 				scheduler, executor, clock, metrics, new RetryBudget(), new Suspects(), new Durability(ledger));
-		this.writer = new LedgerWriter(ledger);
+		this.writer = new RecordWriter(ledger);
 		this.queue = new CallQueue(this.context, this.writer, this::start);
 		this.lifecycle = new ProgramLifecycle(this.context, this.writer, this.queue, this.counts);
 		this.sweep = scheduler.scheduleWithFixedDelay(() -> executor.execute(this::sweep), SWEEP_INTERVAL_MS,
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
@@ -51,13 +51,13 @@
 
 	private final OwnerContext context;
 
-	private final LedgerWriter writer;
+	private final RecordWriter writer;
 
 	private final CallQueue queue;
 
 	private final AccountPrograms counts;
 
-	ProgramLifecycle(OwnerContext context, LedgerWriter writer, CallQueue queue, AccountPrograms counts) {
+	ProgramLifecycle(OwnerContext context, RecordWriter writer, CallQueue queue, AccountPrograms counts) {
 		this.context = context;
 		this.writer = writer;
 		this.queue = queue;
@@ -88,10 +88,10 @@
 		}
 		ProgramCell cell = new ProgramCell(slot, opening.opened(), 0);
 		slot.programs().put(command.id(), cell);
-		List<LedgerWriter.Change> changes = new ArrayList<>();
-		changes.add(new LedgerWriter.Change(cell, null, opening.opened()));
+		List<RecordWriter.Change> changes = new ArrayList<>();
+		changes.add(new RecordWriter.Change(cell, null, opening.opened()));
 		if (parent != null && opening.parent() != null) {
-			changes.add(new LedgerWriter.Change(parent, before, opening.parent()));
+			changes.add(new RecordWriter.Change(parent, before, opening.parent()));
 		}
 		CompletableFuture<Void> append = this.writer.apply(changes, opening.records());
 		cell.opened(append);
@@ -168,14 +168,14 @@
 		cancelCallsLocked(cell, ErrorCode.PROGRAM_ENDED, "the program was ended");
 		ProgramSnapshot before = cell.state();
 		Transition ended = ProgramTransitions.end(before, to, this.context.now());
-		List<LedgerWriter.Change> changes = new ArrayList<>();
-		changes.add(new LedgerWriter.Change(cell, before, ended.state()));
+		List<RecordWriter.Change> changes = new ArrayList<>();
+		changes.add(new RecordWriter.Change(cell, before, ended.state()));
 		List<LedgerRecord.OfProgram> records = new ArrayList<>(ended.records());
 		ProgramId parentId = ProgramTransitions.parent(cell.id());
 		ProgramCell parent = (parentId != null) ? cell.slot().programs().get(parentId) : null;
 		if (parent != null && parent.state().running()) {
 			Transition refund = ProgramTransitions.refund(parent.state(), ended.state());
-			changes.add(new LedgerWriter.Change(parent, parent.state(), refund.state()));
+			changes.add(new RecordWriter.Change(parent, parent.state(), refund.state()));
 			records.addAll(refund.records());
 		}
 		CompletableFuture<Void> append = this.writer.apply(changes, records);
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/LedgerWriter.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/RecordWriter.java
@@ -18,11 +18,11 @@
  * methods are called under the lock of the shard. The futures complete when the records
  * are durable.
  */
-final class LedgerWriter {
+final class RecordWriter {
 
 	private final Ledger ledger;
 
-	LedgerWriter(Ledger ledger) {
+	RecordWriter(Ledger ledger) {
 		this.ledger = ledger;
 	}
 
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ServiceCall.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ServiceCall.java
@@ -30,7 +30,7 @@
 
 	private final OwnerContext context;
 
-	private final LedgerWriter writer;
+	private final RecordWriter writer;
 
 	private final CallQueue queue;
 
@@ -40,7 +40,7 @@
 
 	private int retries;
 
-	ServiceCall(OwnerContext context, LedgerWriter writer, CallQueue queue, ProgramCell cell, LiveCall call) {
+	ServiceCall(OwnerContext context, RecordWriter writer, CallQueue queue, ProgramCell cell, LiveCall call) {
 		this.context = context;
 		this.writer = writer;
 		this.queue = queue;
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/Attempt.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/TurnAttempt.java
@@ -10,7 +10,7 @@
 /**
  * One attempt of a model turn on one engine.
  */
-final class Attempt {
+final class TurnAttempt {
 
 	/**
 	 * Longest silence within an answer. Dispatchers resume a silent engine stream
@@ -38,7 +38,7 @@
 
 	private volatile boolean started;
 
-	Attempt(String engine, Instant now, Instant deadline) {
+	TurnAttempt(String engine, Instant now, Instant deadline) {
 		this.engine = engine;
 		this.startedAt = now;
 		this.lastProgress = now;
