Measure the engine choice again after its change

The fixtures now use what the daemon uses; the row that shows the cost of Map.copyOf keeps it. The module builds; its tests were not run again after this change.

--- a/experiment/src/main/java/org/hemlockgw/experiment/capacity/EngineChoiceSlope.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/capacity/EngineChoiceSlope.java
@@ -9,6 +9,7 @@
 import org.HdrHistogram.Histogram;
 
 import org.hemlockgw.core.blackboard.Blackboard;
+import org.hemlockgw.core.common.ImmutableMaps;
 import org.hemlockgw.core.config.CheckResult;
 import org.hemlockgw.core.config.ConfigChecker;
 import org.hemlockgw.core.dispatch.EngineLoad;
@@ -46,7 +47,7 @@
 			return measure.cpuUs(() -> board.engineLoads().update((loads) -> withLoad(loads, load(1))));
 		});
 		Series copied = Series.measure("engines.lookup.copyof", "us", "engines", ENGINES,
-				(n) -> lookupUs(measure, board(n).engineLoads().get()));
+				(n) -> lookupUs(measure, Map.copyOf(board(n).engineLoads().get())));
 		Series hashed = Series.measure("engines.lookup.hashmap", "us", "engines", ENGINES,
 				(n) -> lookupUs(measure, new HashMap<>(board(n).engineLoads().get())));
 		return List.of(median, p99, update, copied, hashed);
@@ -87,7 +88,7 @@
 		for (int i = 0; i < engines; i++) {
 			loads.put(Samples.engine(i), load(i));
 		}
-		board.engineLoads().set(Map.copyOf(loads));
+		board.engineLoads().set(ImmutableMaps.copyOf(loads));
 		return board;
 	}
 
@@ -99,7 +100,7 @@
 	private static Map<String, EngineLoad> withLoad(Map<String, EngineLoad> loads, EngineLoad load) {
 		Map<String, EngineLoad> next = new HashMap<>(loads);
 		next.put(load.engine(), load);
-		return Map.copyOf(next);
+		return ImmutableMaps.copyOf(next);
 	}
 
 }
--- a/experiment/src/main/java/org/hemlockgw/experiment/capacity/Samples.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/capacity/Samples.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import org.hemlockgw.core.common.ImmutableMaps;
 import org.hemlockgw.core.common.Incarnation;
 import org.hemlockgw.core.common.ProgramId;
 import org.hemlockgw.core.common.ShardId;
@@ -89,7 +90,7 @@
 		for (int i = 0; i < engines; i++) {
 			vms.put(engine(i), vm(engine(i), i, VmKind.BACKEND));
 		}
-		return Map.copyOf(vms);
+		return ImmutableMaps.copyOf(vms);
 	}
 
 	static List<ControlRecord> control(int daemons, int shards, int engines) {
