--- a/cli/src/main/java/org/hemlockgw/cli/Answers.java
+++ b/cli/src/main/java/org/hemlockgw/cli/Answers.java
@@ -16,7 +16,7 @@
 
 import org.hemlockgw.core.common.CallFailure;
 import org.hemlockgw.core.membership.Vm;
-import org.hemlockgw.platform.admin.AdminClient;
+import org.hemlockgw.remote.admin.AdminClient;
 
 /**
  * What the daemons of the VM list answered to one question.
--- a/cli/src/main/java/org/hemlockgw/cli/Clients.java
+++ b/cli/src/main/java/org/hemlockgw/cli/Clients.java
@@ -2,9 +2,9 @@
 
 import java.util.concurrent.Executor;
 
-import org.hemlockgw.platform.HttpLogService;
-import org.hemlockgw.platform.HttpVmList;
-import org.hemlockgw.platform.admin.HttpAdminClient;
+import org.hemlockgw.remote.HttpLogService;
+import org.hemlockgw.remote.HttpVmList;
+import org.hemlockgw.remote.admin.HttpAdminClient;
 
 /**
  * Creates the clients of the platform.
--- a/cli/src/main/java/org/hemlockgw/cli/DrainCommand.java
+++ b/cli/src/main/java/org/hemlockgw/cli/DrainCommand.java
@@ -9,7 +9,7 @@
 import picocli.CommandLine.Spec;
 
 import org.hemlockgw.core.membership.Vm;
-import org.hemlockgw.platform.admin.AdminClient;
+import org.hemlockgw.remote.admin.AdminClient;
 
 /**
  * Asks one daemon to shut down gracefully.
--- a/cli/src/main/java/org/hemlockgw/cli/Platform.java
+++ b/cli/src/main/java/org/hemlockgw/cli/Platform.java
@@ -4,7 +4,7 @@
 
 import org.hemlockgw.core.platform.LogService;
 import org.hemlockgw.core.platform.VmList;
-import org.hemlockgw.platform.admin.AdminClient;
+import org.hemlockgw.remote.admin.AdminClient;
 
 /**
  * Clients of everything that commands talk to, by IP number and port.
--- a/cli/src/test/java/org/hemlockgw/cli/MainTests.java
+++ b/cli/src/test/java/org/hemlockgw/cli/MainTests.java
@@ -20,7 +20,7 @@
 import org.hemlockgw.core.membership.VmKind;
 import org.hemlockgw.core.membership.VmState;
 import org.hemlockgw.core.platform.InMemoryLog;
-import org.hemlockgw.platform.admin.AdminClient;
+import org.hemlockgw.remote.admin.AdminClient;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotAnswer.java
@@ -0,0 +1,23 @@
+package org.hemlockgw.core.pool;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Outcome of a request for a slot.
+ *
+ * @param server the server to use; null if the request is refused
+ * @param address its IP number and port; empty if refused
+ * @param retryAfterMs when to come back if refused
+ * @param reason why it was refused; empty if granted
+ */
+public record SlotAnswer(@Nullable String server, String address, long retryAfterMs, String reason) {
+
+	public static SlotAnswer granted(PoolMember member) {
+		return new SlotAnswer(member.id(), member.address(), 0, "");
+	}
+
+	public static SlotAnswer refused(long retryAfterMs, String reason) {
+		return new SlotAnswer(null, "", retryAfterMs, reason);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/route/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Routes of callers' requests to pools of backend servers.
+ */
+@NullMarked
+package org.hemlockgw.core.route;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/store/NewestPage.java
@@ -0,0 +1,12 @@
+package org.hemlockgw.core.store;
+
+import java.util.List;
+
+/**
+ * Some of the newest records of a shard, in the order of their keys.
+ *
+ * @param items records
+ * @param hasMore whether more follow after the last key
+ */
+public record NewestPage(List<KeyedValue> items, boolean hasMore) {
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
@@ -0,0 +1,143 @@
+package org.hemlockgw.core.turn;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Turns and budgets of the programs of one shard. Not thread-safe.
+ */
+public final class TurnShard {
+
+	private final Map<String, TurnRecord> turns = new HashMap<>();
+
+	private final Map<String, Instant> expiry = new HashMap<>();
+
+	private final Map<String, ProgramBudget> budgets = new HashMap<>();
+
+	/**
+	 * Returns a turn and all that it continues, the oldest first.
+	 * @param id the newest turn
+	 * @return the chain, or null if a part of it is not here
+	 */
+	public @Nullable List<TurnRecord> chain(String id) {
+		Deque<TurnRecord> chain = new ArrayDeque<>();
+		Set<String> seen = new HashSet<>();
+		String next = id;
+		while (next != null) {
+			TurnRecord turn = this.turns.get(next);
+			if (turn == null || !seen.add(next)) {
+				return null;
+			}
+			chain.addFirst(turn);
+			next = turn.parent();
+		}
+		return List.copyOf(chain);
+	}
+
+	/**
+	 * Adds a turn. All turns that it continues are kept as long as it is.
+	 * @param turn the turn
+	 */
+	public void add(TurnRecord turn) {
+		this.turns.put(turn.id(), turn);
+		extend(turn.id(), turn.expiresAt());
+	}
+
+	/**
+	 * Extends the ancestors of every turn, for records that were added in any order.
+	 */
+	public void relink() {
+		this.turns.values().forEach((turn) -> extend(turn.id(), turn.expiresAt()));
+	}
+
+	private void extend(@Nullable String id, Instant until) {
+		String next = id;
+		while (next != null) {
+			Instant known = this.expiry.get(next);
+			if (known != null && !known.isBefore(until)) {
+				return;
+			}
+			this.expiry.put(next, until);
+			TurnRecord turn = this.turns.get(next);
+			next = (turn != null) ? turn.parent() : null;
+		}
+	}
+
+	/**
+	 * Returns the budget of a program, a new one if it has none.
+	 * @param program the program
+	 * @param now time of day
+	 * @param retention how long the budget is kept after its last use
+	 * @return the budget
+	 */
+	public ProgramBudget budget(String program, Instant now, Duration retention) {
+		ProgramBudget budget = this.budgets.computeIfAbsent(program, (key) -> new ProgramBudget(now));
+		budget.keepUntil(now.plus(retention));
+		return budget;
+	}
+
+	public void restore(String program, ProgramBudget budget) {
+		this.budgets.put(program, budget);
+	}
+
+	public @Nullable ProgramBudget knownBudget(String program) {
+		return this.budgets.get(program);
+	}
+
+	/**
+	 * Forgets turns and budgets that are kept no longer.
+	 * @param now time of day
+	 * @param margin extra time, since clocks of VMs differ
+	 * @return what was forgotten
+	 */
+	public Expired expire(Instant now, Duration margin) {
+		Instant limit = now.minus(margin);
+		List<String> goneTurns = new ArrayList<>();
+		List<String> gonePrograms = new ArrayList<>();
+		Iterator<Map.Entry<String, Instant>> turnsLeft = this.expiry.entrySet().iterator();
+		while (turnsLeft.hasNext()) {
+			Map.Entry<String, Instant> entry = turnsLeft.next();
+			if (entry.getValue().isBefore(limit)) {
+				turnsLeft.remove();
+				if (this.turns.remove(entry.getKey()) != null) {
+					goneTurns.add(entry.getKey());
+				}
+			}
+		}
+		Iterator<Map.Entry<String, ProgramBudget>> budgetsLeft = this.budgets.entrySet().iterator();
+		while (budgetsLeft.hasNext()) {
+			Map.Entry<String, ProgramBudget> entry = budgetsLeft.next();
+			if (entry.getValue().keptUntil().isBefore(limit)) {
+				budgetsLeft.remove();
+				gonePrograms.add(entry.getKey());
+			}
+		}
+		return new Expired(goneTurns, gonePrograms);
+	}
+
+	public int turnCount() {
+		return this.turns.size();
+	}
+
+	/**
+	 * What a shard has forgotten.
+	 *
+	 * @param turns identifiers of turns
+	 * @param programs programs whose budget was forgotten
+	 */
+	public record Expired(List<String> turns, List<String> programs) {
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/turn/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Chains of opaque turns and the token budgets of their programs.
+ */
+@NullMarked
+package org.hemlockgw.core.turn;
+
+import org.jspecify.annotations.NullMarked;
--- a/daemon/src/main/java/org/hemlockgw/daemon/BackendClients.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/BackendClients.java
@@ -12,8 +12,8 @@
 import org.hemlockgw.core.membership.BackendAvailability;
 import org.hemlockgw.core.platform.EngineClient;
 import org.hemlockgw.core.platform.PlainServiceClient;
-import org.hemlockgw.platform.HttpEngineClient;
-import org.hemlockgw.platform.HttpPlainServiceClient;
+import org.hemlockgw.remote.HttpEngineClient;
+import org.hemlockgw.remote.HttpPlainServiceClient;
 
 /**
  * One client for each address of a backend server.
--- a/daemon/src/main/java/org/hemlockgw/daemon/config/HttpPeerConfiguration.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/config/HttpPeerConfiguration.java
@@ -16,7 +16,7 @@
 import org.hemlockgw.core.config.MalformedRecordException;
 import org.hemlockgw.core.membership.Vm;
 import org.hemlockgw.core.membership.VmKind;
-import org.hemlockgw.platform.admin.AdminClient;
+import org.hemlockgw.remote.admin.AdminClient;
 
 /**
  * Asks the admin listener of a random daemon of the VM list.
--- a/daemon/src/test/java/org/hemlockgw/daemon/admin/AdminServerTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/admin/AdminServerTests.java
@@ -35,8 +35,8 @@
 import org.hemlockgw.core.membership.VmState;
 import org.hemlockgw.daemon.config.HttpPeerConfiguration;
 import org.hemlockgw.daemon.trace.Tracing;
-import org.hemlockgw.platform.admin.AdminClient;
-import org.hemlockgw.platform.admin.HttpAdminClient;
+import org.hemlockgw.remote.admin.AdminClient;
+import org.hemlockgw.remote.admin.HttpAdminClient;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/experiment/src/main/java/org/hemlockgw/experiment/capacity/LedgerWriterSlope.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/capacity/LedgerWriterSlope.java
@@ -14,7 +14,7 @@
 import org.hemlockgw.core.ledger.LedgerRecord.TurnCompleted;
 import org.hemlockgw.daemon.ledger.LedgerSettings;
 import org.hemlockgw.daemon.ledger.LedgerWriter;
-import org.hemlockgw.platform.HttpLogService;
+import org.hemlockgw.remote.HttpLogService;
 import org.hemlockgw.standins.log.LogOptions;
 import org.hemlockgw.standins.log.LogServer;
 import org.hemlockgw.wire.codec.ProtobufLedgerCodec;
--- a/experiment/src/main/java/org/hemlockgw/experiment/capacity/LogAppendSlope.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/capacity/LogAppendSlope.java
@@ -7,7 +7,7 @@
 
 import org.hemlockgw.core.ledger.LedgerBatch;
 import org.hemlockgw.core.ledger.LedgerRecord;
-import org.hemlockgw.platform.HttpLogService;
+import org.hemlockgw.remote.HttpLogService;
 import org.hemlockgw.standins.log.LogOptions;
 import org.hemlockgw.standins.log.LogServer;
 import org.hemlockgw.wire.codec.ProtobufLedgerCodec;
--- a/experiment/src/main/java/org/hemlockgw/experiment/capacity/VmListSlope.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/capacity/VmListSlope.java
@@ -9,7 +9,7 @@
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 
 import org.hemlockgw.core.membership.Vm;
-import org.hemlockgw.platform.HttpVmList;
+import org.hemlockgw.remote.HttpVmList;
 import org.hemlockgw.standins.vmlist.VmEntry;
 import org.hemlockgw.standins.vmlist.VmListOptions;
 import org.hemlockgw.standins.vmlist.VmListServer;
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/ConfigurationSource.java
@@ -0,0 +1,20 @@
+package org.hemlockgw.gateway;
+
+import java.util.function.Consumer;
+
+import org.hemlockgw.core.route.RoutingTable;
+
+/**
+ * Source of configuration versions.
+ */
+@FunctionalInterface
+public interface ConfigurationSource {
+
+	/**
+	 * Starts to watch.
+	 * @param listener receives the newest version and each later one, on the event loop;
+	 * versions may repeat or arrive out of order
+	 */
+	void watch(Consumer<RoutingTable> listener);
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -0,0 +1,36 @@
+package org.hemlockgw.gateway.entry;
+
+import java.time.InstantSource;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.route.RoutingTable;
+import org.hemlockgw.gateway.net.HttpConnections;
+import org.hemlockgw.gateway.owner.Membership;
+import org.hemlockgw.gateway.owner.ProgramOwner;
+import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.slots.SlotClient;
+
+/**
+ * What the handling of a caller's request needs.
+ *
+ * @param loop event loop
+ * @param clock time of day
+ * @param wire names of headers
+ * @param routes routes in force; null before a configuration is known
+ * @param draining whether this daemon is stopping
+ * @param membership holders of shards
+ * @param owner shards held here
+ * @param peers other daemons
+ * @param slots slots at backend servers
+ * @param servers connections to backend servers
+ * @param suspects requests that crash servers
+ * @param metrics counters
+ */
+public record Services(EventLoop loop, InstantSource clock, WireFormat wire, Supplier<@Nullable RoutingTable> routes,
+		BooleanSupplier draining, Membership membership, ProgramOwner owner, PeerLinks peers, SlotClient slots,
+		HttpConnections servers, Suspects suspects, Metrics metrics) {
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpCall.java
@@ -0,0 +1,56 @@
+package org.hemlockgw.gateway.net;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A request that waits for its answer.
+ */
+public final class HttpCall {
+
+	private @Nullable HttpExchangeHandler connection;
+
+	private boolean ended;
+
+	private boolean paused;
+
+	HttpCall() {
+	}
+
+	/**
+	 * Gives up the request and closes its connection. The listener hears nothing more.
+	 */
+	public void abort() {
+		this.ended = true;
+		if (this.connection != null) {
+			this.connection.close();
+		}
+	}
+
+	/**
+	 * Stops or continues reading the answer.
+	 * @param pause true to stop
+	 */
+	public void pause(boolean pause) {
+		this.paused = pause;
+		if (this.connection != null) {
+			this.connection.autoRead(!pause);
+		}
+	}
+
+	void attach(HttpExchangeHandler handler) {
+		this.connection = handler;
+		if (this.paused) {
+			handler.autoRead(false);
+		}
+	}
+
+	void end() {
+		this.ended = true;
+		this.connection = null;
+	}
+
+	boolean hasEnded() {
+		return this.ended;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
@@ -0,0 +1,180 @@
+package org.hemlockgw.gateway.net;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Kept connections by address. All methods run on the event loop.
+ */
+public final class HttpConnections {
+
+	/**
+	 * Idle time in milliseconds after which a connection is not trusted, if its server
+	 * names none.
+	 */
+	private static final long DEFAULT_KEEP_ALIVE_MS = 4000;
+
+	/**
+	 * A connection is given up this long before its server would close it, in
+	 * milliseconds.
+	 */
+	private static final long KEEP_ALIVE_MARGIN_MS = 700;
+
+	private final EventLoop loop;
+
+	private final int connectTimeoutMs;
+
+	private final Map<String, Deque<HttpExchangeHandler>> idle = new HashMap<>();
+
+	private long opened;
+
+	public HttpConnections(EventLoop loop, int connectTimeoutMs) {
+		this.loop = loop;
+		this.connectTimeoutMs = connectTimeoutMs;
+		loop.scheduleAtFixedRate(this::closeExpired, 1, 1, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Sends a request.
+	 * @param address the server's IP number and port
+	 * @param head method, path and headers
+	 * @param body body; released by this method
+	 * @param listener receives the answer
+	 * @return handle of the request
+	 */
+	public HttpCall send(String address, HttpRequest head, ByteBuf body, HttpListener listener) {
+		HttpCall call = new HttpCall();
+		HttpExchangeHandler kept = takeIdle(address);
+		if (kept != null) {
+			kept.send(head, body, call, listener);
+			return call;
+		}
+		InetSocketAddress target = parse(address);
+		if (target == null) {
+			body.release();
+			this.loop.execute(() -> listener.failed(false, "'" + address + "' is not ip:port"));
+			return call;
+		}
+		this.opened++;
+		new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMs)
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					channel.pipeline()
+						.addLast(new HttpRequestEncoder(), new HttpResponseDecoder(),
+								new HttpExchangeHandler(HttpConnections.this, address, channel));
+				}
+			})
+			.connect(target)
+			.addListener((io.netty.channel.ChannelFuture done) -> connected(done.channel(), done.cause(), head, body,
+					call, listener));
+		return call;
+	}
+
+	private void connected(Channel channel, @Nullable Throwable cause, HttpRequest head, ByteBuf body, HttpCall call,
+			HttpListener listener) {
+		if (call.hasEnded()) {
+			body.release();
+			channel.close();
+			return;
+		}
+		HttpExchangeHandler handler = (cause != null) ? null : channel.pipeline().get(HttpExchangeHandler.class);
+		if (handler == null) {
+			body.release();
+			call.end();
+			listener.failed(false, "can't connect: " + cause);
+			return;
+		}
+		handler.send(head, body, call, listener);
+	}
+
+	private @Nullable HttpExchangeHandler takeIdle(String address) {
+		Deque<HttpExchangeHandler> kept = this.idle.get(address);
+		long now = System.nanoTime();
+		while (kept != null && !kept.isEmpty()) {
+			HttpExchangeHandler handler = kept.pollLast();
+			if (handler.isUsable(now)) {
+				return handler;
+			}
+			handler.close();
+		}
+		return null;
+	}
+
+	void idle(String address, HttpExchangeHandler handler) {
+		this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addLast(handler);
+	}
+
+	void forget(String address, HttpExchangeHandler handler) {
+		Deque<HttpExchangeHandler> kept = this.idle.get(address);
+		if (kept != null) {
+			kept.remove(handler);
+		}
+	}
+
+	private void closeExpired() {
+		long now = System.nanoTime();
+		this.idle.values().forEach((kept) -> {
+			while (!kept.isEmpty() && !kept.getFirst().isUsable(now)) {
+				kept.removeFirst().close();
+			}
+		});
+		this.idle.values().removeIf(Deque::isEmpty);
+	}
+
+	public long opened() {
+		return this.opened;
+	}
+
+	static long keepAliveMs(@Nullable String header) {
+		if (header == null) {
+			return DEFAULT_KEEP_ALIVE_MS;
+		}
+		int at = header.indexOf("timeout=");
+		int end = at + "timeout=".length();
+		long seconds = 0;
+		while (at >= 0 && end < header.length() && Character.isDigit(header.charAt(end)) && seconds < 100_000) {
+			seconds = 10 * seconds + (header.charAt(end++) - '0');
+		}
+		return (seconds == 0) ? DEFAULT_KEEP_ALIVE_MS : Math.max(0, seconds * 1000 - KEEP_ALIVE_MARGIN_MS);
+	}
+
+	/**
+	 * Parses an address.
+	 * @param address the server's IP number and port
+	 * @return the address, or null if it is malformed
+	 */
+	public static @Nullable InetSocketAddress parse(String address) {
+		int colon = address.lastIndexOf(':');
+		if (colon <= 0) {
+			return null;
+		}
+		try {
+			return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+		}
+		catch (IllegalArgumentException ex) {
+			return null;
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpListener.java
@@ -0,0 +1,36 @@
+package org.hemlockgw.gateway.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Receives the answer to one request.
+ */
+public interface HttpListener {
+
+	/**
+	 * Receives status and headers.
+	 * @param response status and headers
+	 * @return false if the answer belongs to another request; it is skipped
+	 */
+	boolean head(HttpResponse response);
+
+	/**
+	 * Receives a part of the body.
+	 * @param part valid during the call only
+	 */
+	void content(ByteBuf part);
+
+	/**
+	 * The answer is complete.
+	 */
+	void complete();
+
+	/**
+	 * There is no complete answer.
+	 * @param sent whether a part of the request may have reached the server
+	 * @param cause what happened
+	 */
+	void failed(boolean sent, String cause);
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP connections to backend servers and the store.
+ */
+@NullMarked
+package org.hemlockgw.gateway.net;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/MemberName.java
@@ -0,0 +1,28 @@
+package org.hemlockgw.gateway.owner;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Name of a daemon in the store's group. It carries what other daemons need to reach it.
+ *
+ * @param peerAddress IP number and port for other daemons
+ * @param dataCentre where it runs
+ * @param incarnation differs for each start
+ */
+public record MemberName(String peerAddress, String dataCentre, String incarnation) {
+
+	public String text() {
+		return this.peerAddress + "/" + this.dataCentre + "/" + this.incarnation;
+	}
+
+	/**
+	 * Parses a name.
+	 * @param text the name
+	 * @return the name, or null if it is malformed
+	 */
+	public static @Nullable MemberName parse(String text) {
+		String[] parts = text.split("/", -1);
+		return (parts.length == 3) ? new MemberName(parts[0], parts[1], parts[2]) : null;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -0,0 +1,278 @@
+package org.hemlockgw.gateway.owner;
+
+import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.hemlockgw.core.store.ShardAssignment;
+import org.hemlockgw.core.store.StateStore;
+
+/**
+ * Shards that this daemon holds and, as far as it knows, who holds the others.
+ */
+public final class Membership {
+
+	private static final Logger logger = LoggerFactory.getLogger(Membership.class);
+
+	/**
+	 * Interval of joins in milliseconds: a third of the shortest lifetime of a member.
+	 */
+	private static final long JOIN_MS = 350;
+
+	/** Interval of reads of all holders in milliseconds while nothing is missing. */
+	private static final long OWNERS_MS = 2000;
+
+	/** Least time between two reads of all holders in milliseconds. */
+	private static final long OWNERS_MIN_MS = 60;
+
+	/** Interval in milliseconds at which expired turns are dropped. */
+	private static final long EXPIRY_MS = 5000;
+
+	/** Take-overs within one generation; each uses two epochs. */
+	private static final long TAKE_OVERS_PER_GENERATION = 1000;
+
+	private final EventLoop loop;
+
+	private final StateStore store;
+
+	private final InstantSource clock;
+
+	private final MemberName self;
+
+	private final Runnable changed;
+
+	private final Map<Integer, OwnedShard> owned = new HashMap<>();
+
+	private Map<Integer, MemberName> holders = Map.of();
+
+	private long generation;
+
+	private long takeOvers;
+
+	private boolean joining;
+
+	private boolean joinAgain;
+
+	private boolean leaving;
+
+	private boolean readingOwners;
+
+	private long ownersReadNanos;
+
+	public Membership(EventLoop loop, StateStore store, InstantSource clock, MemberName self, Runnable changed) {
+		this.loop = loop;
+		this.store = store;
+		this.clock = clock;
+		this.self = self;
+		this.changed = changed;
+	}
+
+	public void start() {
+		this.loop.scheduleAtFixedRate(this::join, 0, JOIN_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this::readOwners, 0, OWNERS_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(() -> this.owned.values().forEach(OwnedShard::expire), EXPIRY_MS, EXPIRY_MS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Asks the store for the assignment now.
+	 */
+	public void refresh() {
+		join();
+		long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.ownersReadNanos);
+		if (sinceMs >= OWNERS_MIN_MS) {
+			readOwners();
+		}
+	}
+
+	private void join() {
+		if (this.leaving) {
+			return;
+		}
+		if (this.joining) {
+			this.joinAgain = true;
+			return;
+		}
+		this.joining = true;
+		this.joinAgain = false;
+		this.store.join(this.self.text(), this.generation).whenComplete((assignment, error) -> {
+			this.joining = false;
+			if (error != null) {
+				logger.warn("joining failed: {}", error.getMessage());
+			}
+			else if (!this.leaving) {
+				apply(assignment);
+			}
+			if (this.joinAgain) {
+				join();
+			}
+		});
+	}
+
+	private void apply(ShardAssignment assignment) {
+		if (assignment.generation() < this.generation) {
+			return;
+		}
+		boolean news = assignment.generation() != this.generation;
+		this.generation = assignment.generation();
+		Set<Integer> lost = new TreeSet<>(this.owned.keySet());
+		lost.removeAll(assignment.shards());
+		lost.forEach(this::drop);
+		Set<Integer> gained = new TreeSet<>(assignment.shards());
+		gained.removeAll(this.owned.keySet());
+		gained.forEach(this::take);
+		if (news) {
+			logger.info("generation {}: shards {}, lost {}", this.generation, assignment.shards(), lost);
+			readOwners();
+		}
+		if (news && lost.isEmpty() && gained.isEmpty()) {
+			return;
+		}
+		if (!lost.isEmpty()) {
+			// The new holder learns of its shards only from its own next join.
+			this.changed.run();
+		}
+	}
+
+	private void take(int number) {
+		long epoch = 2 * (this.generation * TAKE_OVERS_PER_GENERATION + this.takeOvers++ % TAKE_OVERS_PER_GENERATION);
+		OwnedShard shard = new OwnedShard(this.loop, this.store, this.clock, number, epoch, () -> fenced(number));
+		this.owned.put(number, shard);
+		shard.take(() -> logger.debug("shard {} answers in epoch {}", number, epoch));
+	}
+
+	private void fenced(int number) {
+		drop(number);
+		refresh();
+	}
+
+	private void drop(int number) {
+		OwnedShard shard = this.owned.remove(number);
+		if (shard != null) {
+			shard.end();
+		}
+	}
+
+	private void readOwners() {
+		if (this.readingOwners) {
+			return;
+		}
+		this.readingOwners = true;
+		this.ownersReadNanos = System.nanoTime();
+		this.store.owners().whenComplete((rows, error) -> {
+			this.readingOwners = false;
+			if (error != null) {
+				logger.warn("reading the holders of shards failed: {}", error.getMessage());
+				return;
+			}
+			Map<Integer, MemberName> found = new HashMap<>();
+			rows.forEach((shard, member) -> {
+				MemberName name = MemberName.parse(member);
+				if (name == null) {
+					logger.warn("shard {} is held by '{}', which is no name of a daemon", shard, member);
+				}
+				else {
+					found.put(shard, name);
+				}
+			});
+			this.holders = found;
+		});
+	}
+
+	/**
+	 * Leaves the group, once all appends are done.
+	 * @param done runs after the store has answered, or has failed to
+	 */
+	public void leave(Runnable done) {
+		this.leaving = true;
+		for (OwnedShard shard : List.copyOf(this.owned.values())) {
+			if (!shard.isIdle()) {
+				this.loop.schedule(() -> leave(done), 2, TimeUnit.MILLISECONDS);
+				return;
+			}
+		}
+		Set.copyOf(this.owned.keySet()).forEach(this::drop);
+		this.store.leave(this.self.text()).whenComplete((ok, error) -> {
+			if (error != null) {
+				logger.warn("leaving failed: {}", error.getMessage());
+			}
+			this.changed.run();
+			readOwners();
+			done.run();
+		});
+	}
+
+	@Nullable OwnedShard owned(int shard) {
+		OwnedShard found = this.owned.get(shard);
+		return (found != null && found.isReady()) ? found : null;
+	}
+
+	Map<Integer, OwnedShard> owned() {
+		return this.owned;
+	}
+
+	/**
+	 * Tells whether this daemon holds a shard and answers for it.
+	 * @param shard number of the shard
+	 * @return whether it does
+	 */
+	public boolean holds(int shard) {
+		return owned(shard) != null;
+	}
+
+	/**
+	 * Returns the address of the holder of a shard.
+	 * @param shard number of the shard
+	 * @return peer address, or null if unknown or this daemon
+	 */
+	public @Nullable String address(int shard) {
+		MemberName holder = this.holders.get(shard);
+		return (holder == null || holder.equals(this.self)) ? null : holder.peerAddress();
+	}
+
+	/**
+	 * Returns the addresses of all other daemons that hold shards.
+	 * @return peer addresses
+	 */
+	public Set<String> peers() {
+		Set<String> found = new HashSet<>();
+		this.holders.values().forEach((holder) -> {
+			if (!holder.equals(this.self)) {
+				found.add(holder.peerAddress());
+			}
+		});
+		return found;
+	}
+
+	/**
+	 * Tells whether this daemon can serve turns: all its shards are read and the holders
+	 * of the others are known.
+	 * @return whether it can
+	 */
+	public boolean isSettled() {
+		return !this.holders.isEmpty() && this.owned.values().stream().allMatch(OwnedShard::isReady);
+	}
+
+	public int shardCount() {
+		return this.store.shardCount();
+	}
+
+	public MemberName self() {
+		return this.self;
+	}
+
+	public int turnCount() {
+		return this.owned.values().stream().mapToInt(OwnedShard::turnCount).sum();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -0,0 +1,196 @@
+package org.hemlockgw.gateway.owner;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.store.StateStore;
+import org.hemlockgw.core.turn.ProgramBudget;
+import org.hemlockgw.core.turn.TurnRecord;
+import org.hemlockgw.core.turn.TurnShard;
+import org.hemlockgw.gateway.peer.PeerMessage;
+
+/**
+ * A shard that this daemon holds. It answers only after the earlier writer is fenced and
+ * all records are read.
+ */
+final class OwnedShard {
+
+	private static final Logger logger = LoggerFactory.getLogger(OwnedShard.class);
+
+	/** Pause before a failed read is repeated, in milliseconds. */
+	private static final long RETRY_MS = 100;
+
+	/**
+	 * Extra time that turns are kept, since clocks of VMs differ by some seconds at most.
+	 */
+	private static final Duration EXPIRY_MARGIN = Duration.ofSeconds(10);
+
+	private final EventLoop loop;
+
+	private final StateStore store;
+
+	private final InstantSource clock;
+
+	private final int number;
+
+	private final ShardWriter writer;
+
+	private final TurnShard state = new TurnShard();
+
+	private boolean ready;
+
+	private boolean ended;
+
+	OwnedShard(EventLoop loop, StateStore store, InstantSource clock, int number, long epoch, Runnable fenced) {
+		this.loop = loop;
+		this.store = store;
+		this.clock = clock;
+		this.number = number;
+		this.writer = new ShardWriter(loop, store, number, epoch, fenced);
+	}
+
+	void take(Runnable done) {
+		this.writer.open((stored) -> {
+			if (stored) {
+				read("", done);
+			}
+		});
+	}
+
+	private void read(String after, Runnable done) {
+		if (this.ended) {
+			return;
+		}
+		this.store.newest(this.number, after).whenComplete((page, error) -> {
+			if (error != null) {
+				logger.warn("reading shard {} failed and is repeated: {}", this.number, error.getMessage());
+				this.loop.schedule(() -> read(after, done), RETRY_MS, TimeUnit.MILLISECONDS);
+				return;
+			}
+			String last = after;
+			for (KeyedValue record : page.items()) {
+				last = record.key();
+				add(record);
+			}
+			if (page.hasMore()) {
+				read(last, done);
+				return;
+			}
+			this.state.relink();
+			this.ready = true;
+			logger.info("shard {} is taken over with {} turns", this.number, this.state.turnCount());
+			done.run();
+		});
+	}
+
+	private void add(KeyedValue record) {
+		try {
+			ShardCodec.read(record, this.state);
+		}
+		catch (IOException ex) {
+			logger.warn("shard {}: skipping a record: {}", this.number, String.valueOf(ex.getMessage()));
+		}
+	}
+
+	boolean isReady() {
+		return this.ready && !this.ended;
+	}
+
+	boolean isIdle() {
+		return this.writer.isIdle();
+	}
+
+	void end() {
+		this.ended = true;
+		this.writer.end();
+	}
+
+	@Nullable List<TurnRecord> chain(String turn) {
+		return this.state.chain(turn);
+	}
+
+	/**
+	 * Takes over a chain that another shard keeps.
+	 * @param chain turns, the oldest first
+	 */
+	void adopt(List<TurnRecord> chain) {
+		List<KeyedValue> records = new ArrayList<>();
+		chain.forEach((turn) -> {
+			this.state.add(turn);
+			records.add(ShardCodec.turn(turn));
+		});
+		this.writer.append(records, (stored) -> logger.debug("chain of {} turns adopted: {}", chain.size(), stored));
+	}
+
+	/**
+	 * Reserves the tokens of a turn.
+	 * @param open the turn
+	 * @param stored receives whether the reservation is durable
+	 * @return false if the budget does not hold the turn
+	 */
+	boolean reserve(PeerMessage.OpenTurn open, Consumer<Boolean> stored) {
+		ProgramBudget budget = this.state.budget(open.program(), this.clock.instant(),
+				Duration.ofMillis(open.retentionMs()));
+		if (!budget.reserve(open.turn(), open.budget(), open.most())) {
+			return false;
+		}
+		this.writer.append(List.of(ShardCodec.budget(open.program(), budget)), stored);
+		return true;
+	}
+
+	/**
+	 * Ends a turn.
+	 * @param close the turn
+	 * @param stored receives whether it is durable
+	 */
+	void close(PeerMessage.CloseTurn close, Consumer<Boolean> stored) {
+		TurnRecord turn = close.record();
+		ProgramBudget budget = this.state.budget(turn.program(), this.clock.instant(), turn.retention());
+		budget.settle(turn.id(), close.tokens());
+		List<KeyedValue> records = new ArrayList<>();
+		records.add(ShardCodec.budget(turn.program(), budget));
+		if (close.whole()) {
+			records.add(ShardCodec.turn(turn));
+			this.writer.append(records, (done) -> {
+				if (done) {
+					this.state.add(turn);
+				}
+				stored.accept(done);
+			});
+			return;
+		}
+		this.writer.append(records, stored);
+	}
+
+	void expire() {
+		if (!isReady()) {
+			return;
+		}
+		Instant now = this.clock.instant();
+		TurnShard.Expired expired = this.state.expire(now, EXPIRY_MARGIN);
+		List<KeyedValue> records = new ArrayList<>();
+		expired.turns().forEach((id) -> records.add(ShardCodec.droppedTurn(id)));
+		expired.programs().forEach((program) -> records.add(ShardCodec.droppedBudget(program)));
+		if (!records.isEmpty()) {
+			this.writer.append(records,
+					(stored) -> logger.debug("shard {}: {} records dropped: {}", this.number, records.size(), stored));
+		}
+	}
+
+	int turnCount() {
+		return this.state.turnCount();
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -0,0 +1,216 @@
+package org.hemlockgw.gateway.owner;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.hemlockgw.core.turn.TurnRecord;
+import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.peer.ReplyListener;
+import org.hemlockgw.gateway.peer.TurnStatus;
+
+/**
+ * Owner's side of turns: reserves, finds chains and records ends.
+ */
+public final class ProgramOwner {
+
+	private static final Logger logger = LoggerFactory.getLogger(ProgramOwner.class);
+
+	/** Time in milliseconds in which other daemons must say whether they have a chain. */
+	private static final long FIND_TIMEOUT_MS = 400;
+
+	private static final byte[] NO_PROMPT = {};
+
+	private final Membership membership;
+
+	private final PeerLinks peers;
+
+	public ProgramOwner(Membership membership, PeerLinks peers) {
+		this.membership = membership;
+		this.peers = peers;
+	}
+
+	/**
+	 * Returns the shard of a program.
+	 * @param program the program
+	 * @return number of the shard
+	 */
+	public int shard(String program) {
+		return Math.floorMod(program.hashCode() * 0x9E3779B9, this.membership.shardCount());
+	}
+
+	/**
+	 * Opens a turn.
+	 * @param open the turn
+	 * @param reply takes {@link PeerMessage.TurnOpened} and
+	 * {@link PeerMessage.ReservationStored}
+	 */
+	public void open(PeerMessage.OpenTurn open, Consumer<PeerMessage> reply) {
+		OwnedShard shard = this.membership.owned(shard(open.program()));
+		if (shard == null) {
+			reply.accept(new PeerMessage.TurnOpened(TurnStatus.NOT_OWNER, NO_PROMPT));
+			return;
+		}
+		String parent = open.parent();
+		if (parent == null) {
+			reserve(shard, open, List.of(), reply);
+			return;
+		}
+		List<TurnRecord> chain = chain(parent);
+		if (chain != null) {
+			reserve(shard, open, chain, reply);
+			return;
+		}
+		new Search(open, reply).start();
+	}
+
+	private void reserve(OwnedShard shard, PeerMessage.OpenTurn open, List<TurnRecord> chain,
+			Consumer<PeerMessage> reply) {
+		boolean reserved = shard.reserve(open, (stored) -> reply.accept(new PeerMessage.ReservationStored(stored)));
+		reply.accept(reserved ? new PeerMessage.TurnOpened(TurnStatus.OK, prompt(chain))
+				: new PeerMessage.TurnOpened(TurnStatus.BUDGET_SPENT, NO_PROMPT));
+	}
+
+	private static byte[] prompt(List<TurnRecord> chain) {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		chain.forEach((turn) -> {
+			bytes.writeBytes(turn.input());
+			bytes.writeBytes(turn.output());
+		});
+		return bytes.toByteArray();
+	}
+
+	private @Nullable List<TurnRecord> chain(String turn) {
+		for (OwnedShard shard : this.membership.owned().values()) {
+			List<TurnRecord> chain = shard.isReady() ? shard.chain(turn) : null;
+			if (chain != null) {
+				return chain;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Ends a turn.
+	 * @param close the turn
+	 * @param reply takes {@link PeerMessage.TurnClosed}
+	 */
+	public void close(PeerMessage.CloseTurn close, Consumer<PeerMessage> reply) {
+		OwnedShard shard = this.membership.owned(shard(close.record().program()));
+		if (shard == null) {
+			reply.accept(new PeerMessage.TurnClosed(TurnStatus.NOT_OWNER));
+			return;
+		}
+		shard.close(close,
+				(stored) -> reply.accept(new PeerMessage.TurnClosed(stored ? TurnStatus.OK : TurnStatus.NOT_OWNER)));
+	}
+
+	/**
+	 * Looks for a chain in the shards that are held here.
+	 * @param find the search
+	 * @return what was found, and which shards that covers
+	 */
+	public PeerMessage.TurnFound find(PeerMessage.FindTurn find) {
+		List<Integer> searched = new ArrayList<>();
+		this.membership.owned().forEach((number, shard) -> {
+			if (shard.isReady()) {
+				searched.add(number);
+			}
+		});
+		List<TurnRecord> chain = chain(find.turn());
+		return new PeerMessage.TurnFound(searched, (chain != null) ? chain : List.of());
+	}
+
+	/**
+	 * Search of a chain at all other daemons.
+	 */
+	private final class Search {
+
+		private final PeerMessage.OpenTurn open;
+
+		private final Consumer<PeerMessage> reply;
+
+		private final Set<Integer> missing = new HashSet<>();
+
+		private int waiting;
+
+		private boolean done;
+
+		Search(PeerMessage.OpenTurn open, Consumer<PeerMessage> reply) {
+			this.open = open;
+			this.reply = reply;
+		}
+
+		void start() {
+			Membership membership = ProgramOwner.this.membership;
+			for (int shard = 0; shard < membership.shardCount(); shard++) {
+				if (!membership.holds(shard)) {
+					this.missing.add(shard);
+				}
+			}
+			Set<String> peers = membership.peers();
+			this.waiting = peers.size();
+			PeerMessage.FindTurn find = new PeerMessage.FindTurn(String.valueOf(this.open.parent()));
+			for (String peer : peers) {
+				ProgramOwner.this.peers.request(peer, find, FIND_TIMEOUT_MS, new ReplyListener() {
+					@Override
+					public void reply(PeerMessage message) {
+						answered((PeerMessage.TurnFound) message);
+					}
+
+					@Override
+					public void failed(String cause) {
+						answered(new PeerMessage.TurnFound(List.of(), List.of()));
+					}
+				});
+			}
+			if (peers.isEmpty()) {
+				finish();
+			}
+		}
+
+		private void answered(PeerMessage.TurnFound found) {
+			this.waiting--;
+			if (this.done) {
+				return;
+			}
+			if (!found.chain().isEmpty()) {
+				this.done = true;
+				adopt(found.chain());
+				return;
+			}
+			this.missing.removeAll(found.shards());
+			if (this.waiting == 0) {
+				finish();
+			}
+		}
+
+		private void adopt(List<TurnRecord> chain) {
+			OwnedShard shard = ProgramOwner.this.membership.owned(shard(this.open.program()));
+			if (shard == null) {
+				this.reply.accept(new PeerMessage.TurnOpened(TurnStatus.NOT_OWNER, NO_PROMPT));
+				return;
+			}
+			shard.adopt(chain);
+			reserve(shard, this.open, chain, this.reply);
+		}
+
+		private void finish() {
+			this.done = true;
+			TurnStatus status = this.missing.isEmpty() ? TurnStatus.NO_SUCH_TURN : TurnStatus.UNCERTAIN;
+			logger.info("turn {} continues {}, which was not found; shards without an answer: {}", this.open.turn(),
+					this.open.parent(), this.missing);
+			this.reply.accept(new PeerMessage.TurnOpened(status, NO_PROMPT));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardCodec.java
@@ -0,0 +1,90 @@
+package org.hemlockgw.gateway.owner;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.turn.ProgramBudget;
+import org.hemlockgw.core.turn.TurnRecord;
+import org.hemlockgw.core.turn.TurnShard;
+import org.hemlockgw.gateway.peer.PeerCodec;
+
+/**
+ * Records of a shard in the store: {@code t} and the turn's identifier, {@code p} and the
+ * program.
+ */
+final class ShardCodec {
+
+	private static final byte[] DROPPED = {};
+
+	private ShardCodec() {
+	}
+
+	static KeyedValue turn(TurnRecord turn) {
+		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+			PeerCodec.writeTurn(out, turn);
+			return new KeyedValue("t" + turn.id(), out.toByteArray());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	static KeyedValue budget(String program, ProgramBudget budget) {
+		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+			Map<String, Integer> open = budget.open();
+			out.packLong(budget.spent()).packLong(budget.keptUntil().toEpochMilli()).packMapHeader(open.size());
+			for (Map.Entry<String, Integer> entry : open.entrySet()) {
+				out.packString(entry.getKey()).packInt(entry.getValue());
+			}
+			return new KeyedValue("p" + program, out.toByteArray());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	static KeyedValue droppedTurn(String id) {
+		return new KeyedValue("t" + id, DROPPED);
+	}
+
+	static KeyedValue droppedBudget(String program) {
+		return new KeyedValue("p" + program, DROPPED);
+	}
+
+	/**
+	 * Adds a record to a shard.
+	 * @param record the record
+	 * @param shard the shard
+	 * @throws IOException if the record is damaged
+	 */
+	static void read(KeyedValue record, TurnShard shard) throws IOException {
+		if (record.value().length == 0 || record.key().isEmpty()) {
+			return;
+		}
+		try (MessageUnpacker in = MessagePack.newDefaultUnpacker(record.value())) {
+			if (record.key().charAt(0) == 't') {
+				shard.add(PeerCodec.readTurn(in));
+				return;
+			}
+			long spent = in.unpackLong();
+			Instant keptUntil = Instant.ofEpochMilli(in.unpackLong());
+			Map<String, Integer> open = new HashMap<>();
+			for (int left = in.unpackMapHeader(); left > 0; left--) {
+				open.put(in.unpackString(), in.unpackInt());
+			}
+			shard.restore(record.key().substring(1), new ProgramBudget(spent, open, keptUntil));
+		}
+		catch (RuntimeException ex) {
+			throw new IOException("damaged record " + record.key(), ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -0,0 +1,269 @@
+package org.hemlockgw.gateway.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageFormat;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+import org.hemlockgw.core.pool.PromptPart;
+import org.hemlockgw.core.pool.SlotAnswer;
+import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.turn.TurnRecord;
+
+/**
+ * MessagePack encoding of messages and turns. A frame is a correlation number, a type
+ * number and the fields in the order of the record.
+ */
+public final class PeerCodec {
+
+	private PeerCodec() {
+	}
+
+	/**
+	 * Encodes a frame.
+	 * @param frame the frame
+	 * @return its bytes, without a length
+	 */
+	public static byte[] encode(Frame frame) {
+		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+			out.packLong(frame.correlation());
+			write(out, frame.message());
+			return out.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static void write(MessagePacker out, PeerMessage message) throws IOException {
+		if (message instanceof PeerMessage.Hello hello) {
+			out.packInt(0).packString(hello.member());
+		}
+		else if (message instanceof PeerMessage.OpenTurn open) {
+			out.packInt(1).packString(open.turn()).packString(open.program());
+			writeText(out, open.parent());
+			out.packLong(open.budget()).packInt(open.most()).packLong(open.retentionMs());
+		}
+		else if (message instanceof PeerMessage.TurnOpened opened) {
+			out.packInt(2).packInt(opened.status().ordinal());
+			writeBytes(out, opened.prompt());
+		}
+		else if (message instanceof PeerMessage.ReservationStored stored) {
+			out.packInt(3).packBoolean(stored.stored());
+		}
+		else if (message instanceof PeerMessage.CloseTurn close) {
+			out.packInt(4);
+			writeTurn(out, close.record());
+			out.packBoolean(close.whole()).packInt(close.tokens());
+		}
+		else if (message instanceof PeerMessage.TurnClosed closed) {
+			out.packInt(5).packInt(closed.status().ordinal());
+		}
+		else if (message instanceof PeerMessage.FindTurn find) {
+			out.packInt(6).packString(find.turn());
+		}
+		else if (message instanceof PeerMessage.TurnFound found) {
+			out.packInt(7).packArrayHeader(found.shards().size());
+			for (int shard : found.shards()) {
+				out.packInt(shard);
+			}
+			out.packArrayHeader(found.chain().size());
+			for (TurnRecord turn : found.chain()) {
+				writeTurn(out, turn);
+			}
+		}
+		else if (message instanceof PeerMessage.AcquireSlot acquire) {
+			out.packInt(8).packString(acquire.pool());
+			writeRequest(out, acquire.request());
+		}
+		else if (message instanceof PeerMessage.SlotAnswered answered) {
+			writeAnswer(out.packInt(9), answered.answer());
+		}
+		else if (message instanceof PeerMessage.ReleaseSlot release) {
+			out.packInt(10).packString(release.pool()).packString(release.request());
+			out.packInt(release.units()).packBoolean(release.failed());
+		}
+		else if (message instanceof PeerMessage.HoldSlot hold) {
+			out.packInt(11).packString(hold.pool());
+			writeRequest(out, hold.request());
+			out.packString(hold.server());
+		}
+		else if (message instanceof PeerMessage.AssignmentChanged) {
+			out.packInt(12);
+		}
+		else if (message instanceof PeerMessage.ServerLost lost) {
+			out.packInt(13).packString(lost.digest());
+		}
+		else if (message instanceof PeerMessage.SlotQueued) {
+			out.packInt(14);
+		}
+	}
+
+	/**
+	 * Decodes a frame.
+	 * @param bytes a whole frame
+	 * @return the frame
+	 * @throws IOException if the bytes are no frame
+	 */
+	public static Frame decode(byte[] bytes) throws IOException {
+		try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+			return new Frame(in.unpackLong(), read(in));
+		}
+		catch (RuntimeException ex) {
+			throw new IOException("malformed frame of " + bytes.length + " bytes", ex);
+		}
+	}
+
+	private static PeerMessage read(MessageUnpacker in) throws IOException {
+		int type = in.unpackInt();
+		return switch (type) {
+			case 0 -> new PeerMessage.Hello(in.unpackString());
+			case 1 -> new PeerMessage.OpenTurn(in.unpackString(), in.unpackString(), readText(in), in.unpackLong(),
+					in.unpackInt(), in.unpackLong());
+			case 2 -> new PeerMessage.TurnOpened(TurnStatus.values()[in.unpackInt()], readBytes(in));
+			case 3 -> new PeerMessage.ReservationStored(in.unpackBoolean());
+			case 4 -> new PeerMessage.CloseTurn(readTurn(in), in.unpackBoolean(), in.unpackInt());
+			case 5 -> new PeerMessage.TurnClosed(TurnStatus.values()[in.unpackInt()]);
+			case 6 -> new PeerMessage.FindTurn(in.unpackString());
+			case 7 -> readFound(in);
+			case 8 -> new PeerMessage.AcquireSlot(in.unpackString(), readRequest(in));
+			case 9 -> new PeerMessage.SlotAnswered(readAnswer(in));
+			case 10 ->
+				new PeerMessage.ReleaseSlot(in.unpackString(), in.unpackString(), in.unpackInt(), in.unpackBoolean());
+			case 11 -> new PeerMessage.HoldSlot(in.unpackString(), readRequest(in), in.unpackString());
+			case 12 -> new PeerMessage.AssignmentChanged();
+			case 13 -> new PeerMessage.ServerLost(in.unpackString());
+			case 14 -> new PeerMessage.SlotQueued();
+			default -> throw new IOException("unknown message type " + type);
+		};
+	}
+
+	private static PeerMessage readFound(MessageUnpacker in) throws IOException {
+		List<Integer> shards = new ArrayList<>();
+		for (int left = in.unpackArrayHeader(); left > 0; left--) {
+			shards.add(in.unpackInt());
+		}
+		List<TurnRecord> chain = new ArrayList<>();
+		for (int left = in.unpackArrayHeader(); left > 0; left--) {
+			chain.add(readTurn(in));
+		}
+		return new PeerMessage.TurnFound(shards, chain);
+	}
+
+	/**
+	 * Writes a turn.
+	 * @param out target
+	 * @param turn the turn
+	 * @throws IOException if the target fails
+	 */
+	public static void writeTurn(MessagePacker out, TurnRecord turn) throws IOException {
+		out.packString(turn.id()).packString(turn.program());
+		writeText(out, turn.parent());
+		writeBytes(out, turn.input());
+		writeBytes(out, turn.output());
+		out.packLong(turn.endedAt().toEpochMilli()).packLong(turn.retention().toMillis());
+	}
+
+	/**
+	 * Reads a turn.
+	 * @param in source
+	 * @return the turn
+	 * @throws IOException if the source fails or holds something else
+	 */
+	public static TurnRecord readTurn(MessageUnpacker in) throws IOException {
+		return new TurnRecord(in.unpackString(), in.unpackString(), readText(in), readBytes(in), readBytes(in),
+				Instant.ofEpochMilli(in.unpackLong()), Duration.ofMillis(in.unpackLong()));
+	}
+
+	private static void writeRequest(MessagePacker out, SlotRequest request) throws IOException {
+		out.packString(request.id()).packString(request.holder()).packInt(request.priority());
+		out.packBoolean(request.running()).packLong(request.objectiveMs()).packLong(request.remainingMs());
+		out.packArrayHeader(request.prompt().size());
+		for (PromptPart part : request.prompt()) {
+			out.packString(part.id()).packInt(part.tokens());
+		}
+		out.packArrayHeader(request.excluded().size());
+		for (String server : request.excluded()) {
+			out.packString(server);
+		}
+	}
+
+	private static SlotRequest readRequest(MessageUnpacker in) throws IOException {
+		String id = in.unpackString();
+		String holder = in.unpackString();
+		int priority = in.unpackInt();
+		boolean running = in.unpackBoolean();
+		long objectiveMs = in.unpackLong();
+		long remainingMs = in.unpackLong();
+		List<PromptPart> prompt = new ArrayList<>();
+		for (int left = in.unpackArrayHeader(); left > 0; left--) {
+			prompt.add(new PromptPart(in.unpackString(), in.unpackInt()));
+		}
+		Set<String> excluded = new HashSet<>();
+		for (int left = in.unpackArrayHeader(); left > 0; left--) {
+			excluded.add(in.unpackString());
+		}
+		return new SlotRequest(id, holder, priority, running, objectiveMs, remainingMs, prompt, excluded);
+	}
+
+	private static void writeAnswer(MessagePacker out, @Nullable SlotAnswer answer) throws IOException {
+		out.packBoolean(answer != null);
+		if (answer != null) {
+			writeText(out, answer.server());
+			out.packString(answer.address()).packLong(answer.retryAfterMs()).packString(answer.reason());
+		}
+	}
+
+	private static @Nullable SlotAnswer readAnswer(MessageUnpacker in) throws IOException {
+		return in.unpackBoolean() ? new SlotAnswer(readText(in), in.unpackString(), in.unpackLong(), in.unpackString())
+				: null;
+	}
+
+	private static void writeText(MessagePacker out, @Nullable String text) throws IOException {
+		if (text == null) {
+			out.packNil();
+		}
+		else {
+			out.packString(text);
+		}
+	}
+
+	private static @Nullable String readText(MessageUnpacker in) throws IOException {
+		if (in.getNextFormat() == MessageFormat.NIL) {
+			in.unpackNil();
+			return null;
+		}
+		return in.unpackString();
+	}
+
+	private static void writeBytes(MessagePacker out, byte[] bytes) throws IOException {
+		out.packBinaryHeader(bytes.length);
+		out.writePayload(bytes);
+	}
+
+	private static byte[] readBytes(MessageUnpacker in) throws IOException {
+		return in.readPayload(in.unpackBinaryHeader());
+	}
+
+	/**
+	 * A message with the number that joins request and replies.
+	 *
+	 * @param correlation number chosen by the requester; 0 for one-way messages
+	 * @param message the message
+	 */
+	public record Frame(long correlation, PeerMessage message) {
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerFrames.java
@@ -0,0 +1,39 @@
+package org.hemlockgw.gateway.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+
+/**
+ * Frames with a length of four bytes.
+ */
+final class PeerFrames {
+
+	/** Largest frame in bytes; a chain of the longest programs takes under 1 MiB. */
+	private static final int MAX_BYTES = 16 * 1024 * 1024;
+
+	private static final int LENGTH_BYTES = 4;
+
+	private PeerFrames() {
+	}
+
+	static void addDecoder(ChannelPipeline pipeline) {
+		pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+	}
+
+	static ChannelFuture write(Channel channel, long correlation, PeerMessage message) {
+		byte[] bytes = PeerCodec.encode(new PeerCodec.Frame(correlation, message));
+		ByteBuf length = channel.alloc().buffer(LENGTH_BYTES).writeInt(bytes.length);
+		return channel.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(bytes)));
+	}
+
+	static byte[] bytes(ByteBuf frame) {
+		byte[] bytes = new byte[frame.readableBytes()];
+		frame.readBytes(bytes);
+		return bytes;
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -0,0 +1,170 @@
+package org.hemlockgw.gateway.peer;
+
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.pool.SlotAnswer;
+import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.turn.TurnRecord;
+
+/**
+ * Message between daemons.
+ */
+public sealed interface PeerMessage {
+
+	/**
+	 * Tells whether a reply is the last one to its request.
+	 * @return false if another reply follows
+	 */
+	default boolean isLast() {
+		return true;
+	}
+
+	/**
+	 * Names the sender of a connection.
+	 *
+	 * @param member the daemon's name
+	 */
+	record Hello(String member) implements PeerMessage {
+	}
+
+	/**
+	 * Asks for the chain of a turn and reserves its tokens. Answered by
+	 * {@link TurnOpened}, then {@link ReservationStored}.
+	 *
+	 * @param turn identifier of the turn
+	 * @param program its program
+	 * @param parent turn that it continues
+	 * @param budget token budget of the program
+	 * @param most largest number of tokens of the turn
+	 * @param retentionMs how long the route keeps turns
+	 */
+	record OpenTurn(String turn, String program, @Nullable String parent, long budget, int most,
+			long retentionMs) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link OpenTurn}.
+	 *
+	 * @param status outcome
+	 * @param prompt inputs and outputs of the chain, the oldest first
+	 */
+	record TurnOpened(TurnStatus status, byte[] prompt) implements PeerMessage {
+
+		@Override
+		public boolean isLast() {
+			return this.status != TurnStatus.OK;
+		}
+
+	}
+
+	/**
+	 * Tells whether a reservation is durable.
+	 *
+	 * @param stored false if the shard was lost before
+	 */
+	record ReservationStored(boolean stored) implements PeerMessage {
+	}
+
+	/**
+	 * Ends a turn. Answered by {@link TurnClosed} once it is durable.
+	 *
+	 * @param record the turn; its output is ignored unless it is whole
+	 * @param whole whether the whole answer is known
+	 * @param tokens tokens handed to the caller
+	 */
+	record CloseTurn(TurnRecord record, boolean whole, int tokens) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link CloseTurn}.
+	 *
+	 * @param status outcome
+	 */
+	record TurnClosed(TurnStatus status) implements PeerMessage {
+	}
+
+	/**
+	 * Asks all shards of a daemon for a chain.
+	 *
+	 * @param turn identifier of its newest turn
+	 */
+	record FindTurn(String turn) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link FindTurn}.
+	 *
+	 * @param shards shards that were searched with complete state
+	 * @param chain the chain; empty if it is not here
+	 */
+	record TurnFound(List<Integer> shards, List<TurnRecord> chain) implements PeerMessage {
+	}
+
+	/**
+	 * Asks for a slot of a pool. Answered by {@link SlotAnswered}.
+	 *
+	 * @param pool name of the pool
+	 * @param request the request
+	 */
+	record AcquireSlot(String pool, SlotRequest request) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link AcquireSlot}.
+	 *
+	 * @param answer the outcome; null if the daemon does not schedule the pool
+	 */
+	record SlotAnswered(@Nullable SlotAnswer answer) implements PeerMessage {
+	}
+
+	/**
+	 * Tells that a request for a slot waits. {@link SlotAnswered} follows.
+	 */
+	record SlotQueued() implements PeerMessage {
+
+		@Override
+		public boolean isLast() {
+			return false;
+		}
+
+	}
+
+	/**
+	 * Returns a slot or withdraws a request for one. Not answered.
+	 *
+	 * @param pool name of the pool
+	 * @param request identifier of the request
+	 * @param units size of the answer; 0 if nothing can be learnt from it
+	 * @param failed whether the server failed
+	 */
+	record ReleaseSlot(String pool, String request, int units, boolean failed) implements PeerMessage {
+	}
+
+	/**
+	 * Tells a pool's new scheduler of a slot in use. Not answered.
+	 *
+	 * @param pool name of the pool
+	 * @param request the request
+	 * @param server the server that runs it
+	 */
+	record HoldSlot(String pool, SlotRequest request, String server) implements PeerMessage {
+	}
+
+	/**
+	 * Tells that shards changed hands, so that the receiver asks the store at once. Not
+	 * answered.
+	 */
+	record AssignmentChanged() implements PeerMessage {
+	}
+
+	/**
+	 * Tells that a server was lost while it ran a request. Not answered.
+	 *
+	 * @param digest digest of the request's path, caller and body
+	 */
+	record ServerLost(String digest) implements PeerMessage {
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Messages between daemons.
+ */
+@NullMarked
+package org.hemlockgw.gateway.peer;
+
+import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/hemlockgw/platform/Abort.java
+++ b/remote/src/main/java/org/hemlockgw/remote/Abort.java
@@ -1,4 +1,4 @@
-package org.hemlockgw.platform;
+package org.hemlockgw.remote;
 
 import org.apache.hc.core5.http.io.HttpClientConnection;
 import org.apache.hc.core5.io.CloseMode;
--- a/platform/src/main/java/org/hemlockgw/platform/ConnectionUse.java
+++ b/remote/src/main/java/org/hemlockgw/remote/ConnectionUse.java
@@ -1,4 +1,4 @@
-package org.hemlockgw.platform;
+package org.hemlockgw.remote;
 
 /**
  * Which connection a request may take.
--- a/platform/src/main/java/org/hemlockgw/platform/admin/AdminClient.java
+++ b/remote/src/main/java/org/hemlockgw/remote/admin/AdminClient.java
@@ -1,4 +1,4 @@
-package org.hemlockgw.platform.admin;
+package org.hemlockgw.remote.admin;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/platform/src/main/java/org/hemlockgw/platform/admin/package-info.java
+++ b/remote/src/main/java/org/hemlockgw/remote/admin/package-info.java
@@ -2,6 +2,6 @@
  * Client of the daemons' admin listeners.
  */
 @NullMarked
-package org.hemlockgw.platform.admin;
+package org.hemlockgw.remote.admin;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/test/java/org/hemlockgw/platform/HttpLogServiceTests.java
+++ b/remote/src/test/java/org/hemlockgw/remote/HttpLogServiceTests.java
@@ -1,4 +1,4 @@
-package org.hemlockgw.platform;
+package org.hemlockgw.remote;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
--- a/platform/src/test/java/org/hemlockgw/platform/HttpPlainServiceClientTests.java
+++ b/remote/src/test/java/org/hemlockgw/remote/HttpPlainServiceClientTests.java
@@ -1,4 +1,4 @@
-package org.hemlockgw.platform;
+package org.hemlockgw.remote;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
--- a/platform/src/test/java/org/hemlockgw/platform/HttpVmListTests.java
+++ b/remote/src/test/java/org/hemlockgw/remote/HttpVmListTests.java
@@ -1,4 +1,4 @@
-package org.hemlockgw.platform;
+package org.hemlockgw.remote;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/systemtest/src/test/java/org/hemlockgw/systemtest/TestSystem.java
+++ b/systemtest/src/test/java/org/hemlockgw/systemtest/TestSystem.java
@@ -27,7 +27,7 @@
 import org.hemlockgw.core.config.ConfigCodec;
 import org.hemlockgw.core.config.ConfigPatch;
 import org.hemlockgw.core.program.Message;
-import org.hemlockgw.platform.HttpLogService;
+import org.hemlockgw.remote.HttpLogService;
 import org.hemlockgw.standins.engine.EngineOptions;
 import org.hemlockgw.standins.engine.EngineServer;
 import org.hemlockgw.standins.engine.EngineText;
--- a/wire/src/test/java/org/hemlockgw/wire/PeerTransportTests.java
+++ b/wire/src/test/java/org/hemlockgw/wire/PeerTransportTests.java
@@ -16,14 +16,17 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.hemlockgw.core.common.CallFailure;
@@ -41,6 +44,7 @@
 import org.hemlockgw.core.program.CallResult;
 import org.hemlockgw.core.program.Message;
 import org.hemlockgw.core.program.Usage;
+import org.hemlockgw.generated.peer.Request;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -141,13 +145,39 @@
 				assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 				CompletableFuture<CallResult> again = remote(address).call(request("r1", ""), (event) -> {
 				});
-				silent.accept().close();
+				try (Socket second = silent.accept()) {
+					// Closing before the frame arrived is another case, with another
+					// verdict: see verdictTellsWhetherTheFrameLeft.
+					assertThat(second.getInputStream().read()).isAtLeast(0);
+				}
 				assertThat(failure(again).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 				assertThat(first.isConnected()).isTrue();
 			}
 		}
 	}
 
+	// Guards against MAY_HAVE_RUN for a frame that never reached a socket, and against
+	// NOT_RUN for one that did. Which of the two a peer causes by closing at
+	// once depends on whether the end of the connection or the frame is handled first.
+	@ParameterizedTest
+	@CsvSource({ "true, NOT_RUN", "false, MAY_HAVE_RUN" })
+	void verdictTellsWhetherTheFrameLeft(boolean closedFirst, Verdict expected) throws Exception {
+		ClientConnection connection = new ClientConnection("peer", this.self, TIMINGS);
+		EmbeddedChannel channel = new EmbeddedChannel(connection);
+		ChannelHandlerContext context = channel.pipeline().context(connection);
+		PendingRequest pending = new PendingRequest(Request.getDefaultInstance(), ErrorCode.OWNER_UNAVAILABLE,
+				(event) -> {
+				}, Runnable::run);
+
+		if (closedFirst) {
+			channel.close();
+		}
+		connection.send(context, pending);
+		channel.close();
+
+		assertThat(failure(pending.result()).verdict()).isEqualTo(expected);
+	}
+
 	// Guards against MAY_HAVE_RUN where nothing was sent, since callers could not repeat
 	// the request, and against an exception thrown at periodic tasks by a malformed entry
 	// of the VM list.
