Answer "no such turn" only after the store confirms who holds each shard

Change: a miss counts only if every holder that the store names afterwards has searched its shard in the same generation; otherwise the caller is told to come again. A daemon that the store turns away learns the holders from a peer and gives up shards that others hold. 503 is never said of a request that may have run. Ruled out: a lost append (the record was stored and found by its owner).

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -99,7 +99,7 @@
 			grant(server, entry);
 			return;
 		}
-		if (!hasUsableServer()) {
+		if (!hasUsableServer(request)) {
 			answer.accept(SlotAnswer.refused(AVOID_MS, "no server"));
 			return;
 		}
@@ -255,8 +255,10 @@
 		entry.answer.accept(SlotAnswer.granted(server.member));
 	}
 
-	private boolean hasUsableServer() {
-		return this.servers.values().stream().anyMatch((server) -> !server.member.draining());
+	private boolean hasUsableServer(SlotRequest request) {
+		return this.servers.values()
+			.stream()
+			.anyMatch((server) -> !server.member.draining() && !request.excluded().contains(server.member.id()));
 	}
 
 	private boolean hasFreeSlot() {
--- a/core/src/main/java/org/hemlockgw/core/store/StateStore.java
+++ b/core/src/main/java/org/hemlockgw/core/store/StateStore.java
@@ -1,7 +1,6 @@
 package org.hemlockgw.core.store;
 
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -47,8 +46,8 @@
 
 	/**
 	 * Returns the member that holds each shard.
-	 * @return members by shard number
+	 * @return the current assignment
 	 */
-	CompletableFuture<Map<Integer, String>> owners();
+	CompletableFuture<ShardHolders> owners();
 
 }
--- a/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
+++ b/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
@@ -46,31 +46,31 @@
 	}
 
 	/**
-	 * Adds a turn. All turns that it continues are kept as long as it is.
+	 * Adds a turn. All turns that it continues are kept as long as it is, in whatever
+	 * order they are added.
 	 * @param turn the turn
 	 */
 	public void add(TurnRecord turn) {
 		this.turns.put(turn.id(), turn);
-		extend(turn.id(), turn.expiresAt());
-	}
-
-	/**
-	 * Extends the ancestors of every turn, for records that were added in any order.
-	 */
-	public void relink() {
-		this.turns.values().forEach((turn) -> extend(turn.id(), turn.expiresAt()));
+		Instant until = turn.expiresAt();
+		Instant known = this.expiry.get(turn.id());
+		if (known != null && known.isAfter(until)) {
+			until = known;
+		}
+		this.expiry.put(turn.id(), until);
+		extendAncestors(turn, until);
 	}
 
-	private void extend(@Nullable String id, Instant until) {
-		String next = id;
+	private void extendAncestors(TurnRecord turn, Instant until) {
+		TurnRecord next = turn;
 		while (next != null) {
-			Instant known = this.expiry.get(next);
-			if (known != null && !known.isBefore(until)) {
+			String parent = next.parent();
+			Instant known = (parent != null) ? this.expiry.get(parent) : null;
+			if (parent == null || (known != null && !known.isBefore(until))) {
 				return;
 			}
-			this.expiry.put(next, until);
-			TurnRecord turn = this.turns.get(next);
-			next = (turn != null) ? turn.parent() : null;
+			this.expiry.put(parent, until);
+			next = this.turns.get(parent);
 		}
 	}
 
--- /dev/null
+++ b/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
@@ -0,0 +1,187 @@
+package org.hemlockgw.core.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link PoolScheduler}.
+ */
+class PoolSchedulerTests {
+
+	private long nowMs;
+
+	private final PoolScheduler scheduler = new PoolScheduler(() -> this.nowMs * 1_000_000);
+
+	private final Map<String, SlotAnswer> answers = new HashMap<>();
+
+	private final List<String> granted = new ArrayList<>();
+
+	// Guards against more requests at a server than it runs at once.
+	@Test
+	void serverGetsAtMostItsSlots() {
+		this.scheduler.update(List.of(member("s1", 2, false)));
+		submit("a", 0, true);
+		submit("b", 0, true);
+		submit("c", 0, true);
+		assertThat(this.granted).containsExactly("a", "b").inOrder();
+		this.scheduler.release("a", 1, false);
+		assertThat(this.granted).containsExactly("a", "b", "c").inOrder();
+	}
+
+	// Guards against new programs that overtake running ones, and less urgent requests
+	// that overtake more urgent ones.
+	@Test
+	void runningProgramsFirstThenPriorityThenArrival() {
+		this.scheduler.update(List.of(member("s1", 1, false)));
+		submit("first", 0, true);
+		submit("new-low", 1, false);
+		submit("new-high", 0, false);
+		submit("running-low", 1, true);
+		submit("running-high", 0, true);
+		for (String done : List.of("first", "running-high", "running-low", "new-high")) {
+			this.scheduler.release(done, 1, false);
+		}
+		assertThat(this.granted).containsExactly("first", "running-high", "running-low", "new-high", "new-low")
+			.inOrder();
+	}
+
+	// Guards against requests for servers that are leaving, the queued ones included.
+	@ParameterizedTest
+	@CsvSource({ "true", "false" })
+	void drainingOrMissingServerGetsNothingNew(boolean listed) {
+		this.scheduler.update(List.of(member("s1", 1, false)));
+		submit("a", 0, true);
+		submit("b", 0, true);
+		this.scheduler.update(listed ? List.of(member("s1", 1, true)) : List.of());
+		this.scheduler.release("a", 1, false);
+		assertThat(this.granted).containsExactly("a");
+		this.scheduler.update(List.of(member("s2", 1, false)));
+		assertThat(server("b")).isEqualTo("s2");
+	}
+
+	// Guards against a request that waits for the only server, which has failed it
+	// before.
+	@Test
+	void withoutAUsableServerARequestIsRefusedAtOnce() {
+		submit("a", 0, true);
+		assertThat(this.answers.get("a")).isNotNull();
+		this.scheduler.update(List.of(member("s1", 1, false)));
+		this.scheduler.submit(request("b", 0, true, List.of(), Set.of("s1")),
+				(answer) -> this.answers.put("b", answer));
+		assertThat(this.answers.get("b")).isNotNull();
+		assertThat(server("b")).isEqualTo("none");
+	}
+
+	// Guards against new programs that wait until they are late, while running programs
+	// may wait as long as their caller does.
+	@Test
+	void newProgramIsRefusedWhenItsWaitExceedsTheObjective() {
+		this.scheduler.update(List.of(member("s1", 1, false)));
+		submit("a", 0, true);
+		for (int i = 0; i < 5; i++) {
+			submit("running" + i, 0, true);
+		}
+		submit("new", 0, false);
+		assertThat(server("new")).isEqualTo("none");
+		assertThat(this.answers.getOrDefault("new", SlotAnswer.refused(0, "")).retryAfterMs()).isGreaterThan(0);
+		assertThat(this.answers).doesNotContainKey("running4");
+	}
+
+	@Test
+	void waitingRequestIsRefusedWhenItsTimeIsOver() {
+		this.scheduler.update(List.of(member("s1", 1, false)));
+		submit("a", 0, true);
+		submit("b", 0, true);
+		this.nowMs += 3001;
+		this.scheduler.tick();
+		assertThat(server("b")).isEqualTo("none");
+	}
+
+	@Test
+	void serverWithTheCachedPromptIsPreferred() {
+		this.scheduler.update(List.of(member("s1", 4, false), member("s2", 4, false)));
+		List<PromptPart> prompt = List.of(new PromptPart("p", 20_000));
+		this.scheduler.submit(request("a", 0, true, prompt, Set.of()), (answer) -> this.answers.put("a", answer));
+		String first = server("a");
+		for (int i = 0; i < 3; i++) {
+			String id = "n" + i;
+			this.scheduler.submit(request(id, 0, true, prompt, Set.of()), (answer) -> this.answers.put(id, answer));
+			assertThat(server(id)).isEqualTo(first);
+		}
+	}
+
+	// Guards against work that piles up at a slow server while faster ones are free.
+	@Test
+	void slowServerIsUsedLast() {
+		this.scheduler.update(List.of(member("fast", 4, false), member("slow", 4, false)));
+		for (int round = 0; round < 30; round++) {
+			this.scheduler.submit(request("f" + round, 0, true, List.of(), Set.of("slow")), (answer) -> {
+			});
+			this.scheduler.submit(request("s" + round, 0, true, List.of(), Set.of("fast")), (answer) -> {
+			});
+			this.nowMs += 50;
+			this.scheduler.release("f" + round, 1, false);
+			this.nowMs += 200;
+			this.scheduler.release("s" + round, 1, false);
+		}
+		submit("a", 0, true);
+		submit("b", 0, true);
+		assertThat(server("a")).isEqualTo("fast");
+		assertThat(server("b")).isEqualTo("fast");
+	}
+
+	// Guards against slots that stay taken after their daemon is gone.
+	@Test
+	void lostDaemonGivesItsSlotsBack() {
+		this.scheduler.update(List.of(member("s1", 1, false)));
+		submit("a", 0, true);
+		this.scheduler.releaseAll("daemon");
+		submit("b", 0, true);
+		assertThat(server("b")).isEqualTo("s1");
+	}
+
+	// Guards against a server that is overfilled after another daemon takes over its
+	// queue.
+	@Test
+	void adoptedSlotsCount() {
+		this.scheduler.update(List.of(member("s1", 1, false)));
+		this.scheduler.adopt(request("a", 0, true, List.of(), Set.of()), "s1");
+		submit("b", 0, true);
+		assertThat(this.granted).isEmpty();
+		this.scheduler.release("a", 1, false);
+		assertThat(this.granted).containsExactly("b");
+	}
+
+	private void submit(String id, int priority, boolean running) {
+		this.scheduler.submit(request(id, priority, running, List.of(), Set.of()), (answer) -> {
+			this.answers.put(id, answer);
+			if (answer.server() != null) {
+				this.granted.add(id);
+			}
+		});
+	}
+
+	private String server(String id) {
+		SlotAnswer answer = this.answers.get(id);
+		return (answer != null && answer.server() != null) ? answer.server() : "none";
+	}
+
+	private static SlotRequest request(String id, int priority, boolean running, List<PromptPart> prompt,
+			Set<String> excluded) {
+		return new SlotRequest(id, "daemon", priority, running, 250, 3000, prompt, excluded);
+	}
+
+	private static PoolMember member(String id, int slots, boolean draining) {
+		return new PoolMember(id, "pool", "127.0.0.1:1", "a", slots, draining, 0);
+	}
+
+}
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -94,7 +94,7 @@
 				settings.peers().getAddress().getHostAddress() + ":" + settings.peers().getPort(),
 				settings.dataCentre(), Long.toString(clock.millis(), Character.MAX_RADIX));
 		this.peers = new PeerLinks(loop, self.text());
-		this.membership = new Membership(loop, store, clock, self, this::announceChange);
+		this.membership = new Membership(loop, store, clock, self, this.peers, this::announceChange);
 		this.owner = new ProgramOwner(this.membership, this.peers);
 		this.slots = new SlotClient(loop, this.membership, this.peers, System::nanoTime);
 		this.services = new Services(loop, clock, wire, () -> this.routes, () -> this.draining, this.membership,
@@ -195,6 +195,9 @@
 		else if (message instanceof PeerMessage.HoldSlot hold) {
 			this.slots.handle(hold);
 		}
+		else if (message instanceof PeerMessage.AskHolders) {
+			reply.accept(new PeerMessage.Holders(this.membership.known()));
+		}
 		else if (message instanceof PeerMessage.AssignmentChanged) {
 			this.membership.refresh();
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -127,6 +127,8 @@
 
 	private boolean reserved;
 
+	private boolean mayHaveRun;
+
 	private boolean headSent;
 
 	private boolean answerComplete;
@@ -493,6 +495,7 @@
 		boolean failure = decoded.status() >= 500;
 		releaseSlot((failure || !decoded.isSuccess()) ? 0 : Math.max(1, (events != null) ? events.events() : 1),
 				failure);
+		this.mayHaveRun = true;
 		if (failure && route().kind().isRepeatable() && mayTryAgain(server)) {
 			return;
 		}
@@ -592,6 +595,7 @@
 			}
 			return;
 		}
+		this.mayHaveRun = true;
 		if (this.request.content().isReadable()) {
 			reportLoss();
 		}
@@ -644,10 +648,12 @@
 		this.caller.channel().close();
 	}
 
-	private void refuse(int status, long retryAfterMs, String reason) {
+	// 503 promises that the request has not run.
+	private void refuse(int wanted, long retryAfterMs, String reason) {
 		if (this.done) {
 			return;
 		}
+		int status = (wanted == 503 && this.mayHaveRun) ? 502 : wanted;
 		this.services.metrics().count("refused_" + status);
 		if (status != 404 && status != 402) {
 			logger.info("request {}: {} after {} ms: {}", this.call.id(), status,
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -15,7 +16,11 @@
 import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.store.ShardAssignment;
+import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.store.StateStore;
+import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.peer.ReplyListener;
 
 /**
  * Shards that this daemon holds and, as far as it knows, who holds the others.
@@ -41,6 +46,9 @@
 	/** Take-overs within one generation; each uses two epochs. */
 	private static final long TAKE_OVERS_PER_GENERATION = 1000;
 
+	/** Time in milliseconds for another daemon's reply; a round trip takes about two. */
+	private static final long PEER_TIMEOUT_MS = 300;
+
 	private final EventLoop loop;
 
 	private final StateStore store;
@@ -53,8 +61,14 @@
 
 	private final Map<Integer, OwnedShard> owned = new HashMap<>();
 
+	private final PeerLinks peers;
+
+	private ShardHolders known = new ShardHolders(0, Map.of());
+
 	private Map<Integer, MemberName> holders = Map.of();
 
+	private int peersAsked;
+
 	private long generation;
 
 	private long takeOvers;
@@ -69,11 +83,13 @@
 
 	private long ownersReadNanos;
 
-	public Membership(EventLoop loop, StateStore store, InstantSource clock, MemberName self, Runnable changed) {
+	public Membership(EventLoop loop, StateStore store, InstantSource clock, MemberName self, PeerLinks peers,
+			Runnable changed) {
 		this.loop = loop;
 		this.store = store;
 		this.clock = clock;
 		this.self = self;
+		this.peers = peers;
 		this.changed = changed;
 	}
 
@@ -135,9 +151,6 @@
 			logger.info("generation {}: shards {}, lost {}", this.generation, assignment.shards(), lost);
 			readOwners();
 		}
-		if (news && lost.isEmpty() && gained.isEmpty()) {
-			return;
-		}
 		if (!lost.isEmpty()) {
 			// The new holder learns of its shards only from its own next join.
 			this.changed.run();
@@ -169,26 +182,101 @@
 		}
 		this.readingOwners = true;
 		this.ownersReadNanos = System.nanoTime();
-		this.store.owners().whenComplete((rows, error) -> {
+		this.store.owners().whenComplete((found, error) -> {
 			this.readingOwners = false;
-			if (error != null) {
-				logger.warn("reading the holders of shards failed: {}", error.getMessage());
+			if (error == null) {
+				learn(found);
 				return;
 			}
-			Map<Integer, MemberName> found = new HashMap<>();
-			rows.forEach((shard, member) -> {
-				MemberName name = MemberName.parse(member);
-				if (name == null) {
-					logger.warn("shard {} is held by '{}', which is no name of a daemon", shard, member);
-				}
-				else {
-					found.put(shard, name);
+			logger.warn("reading the holders of shards failed: {}", error.getMessage());
+			askPeer();
+		});
+	}
+
+	// The store may turn this daemon away while it serves others and gives its shards to
+	// them.
+	private void askPeer() {
+		List<String> known = List.copyOf(peers());
+		if (known.isEmpty()) {
+			return;
+		}
+		String peer = known.get(Math.floorMod(this.peersAsked++, known.size()));
+		this.peers.request(peer, new PeerMessage.AskHolders(), PEER_TIMEOUT_MS, new ReplyListener() {
+			@Override
+			public void reply(PeerMessage message) {
+				if (message instanceof PeerMessage.Holders answer) {
+					learn(answer.holders());
 				}
-			});
-			this.holders = found;
+			}
+
+			@Override
+			public void failed(String cause) {
+				logger.info("holders of shards are not known: {}", cause);
+			}
 		});
 	}
 
+	/**
+	 * Takes over what the store or another daemon says of the holders, unless it is older
+	 * than what is known. Shards that others hold are given up.
+	 * @param found the holders
+	 */
+	void learn(ShardHolders found) {
+		if (found.generation() < this.known.generation()) {
+			return;
+		}
+		Map<Integer, MemberName> names = new HashMap<>();
+		found.members().forEach((shard, member) -> {
+			MemberName name = MemberName.parse(member);
+			if (name == null) {
+				logger.warn("shard {} is held by '{}', which is no name of a daemon", shard, member);
+			}
+			else {
+				names.put(shard, name);
+			}
+		});
+		this.known = found;
+		this.holders = names;
+		if (found.generation() > this.generation) {
+			Set<Integer> lost = new TreeSet<>(this.owned.keySet());
+			lost.removeIf((shard) -> this.self.equals(names.get(shard)));
+			lost.forEach(this::drop);
+			if (!lost.isEmpty()) {
+				logger.info("generation {}: shards {} were given to others", found.generation(), lost);
+			}
+			join();
+		}
+	}
+
+	/**
+	 * Returns the newest assignment that this daemon knows.
+	 * @return the holders
+	 */
+	public ShardHolders known() {
+		return this.known;
+	}
+
+	/**
+	 * Reads the holders from the store now.
+	 * @param done receives the holders, or null if the store does not answer
+	 */
+	void confirm(Consumer<@Nullable ShardHolders> done) {
+		this.store.owners().whenComplete((found, error) -> {
+			if (error == null) {
+				learn(found);
+			}
+			done.accept((error != null) ? null : found);
+		});
+	}
+
+	/**
+	 * Returns the generation of the shards that this daemon holds.
+	 * @return generation of its last join
+	 */
+	long generation() {
+		return this.generation;
+	}
+
 	/**
 	 * Leaves the group, once all appends are done.
 	 * @param done runs after the store has answered, or has failed to
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -88,7 +88,6 @@
 				read(last, done);
 				return;
 			}
-			this.state.relink();
 			this.ready = true;
 			logger.info("shard {} is taken over with {} turns", this.number, this.state.turnCount());
 			done.run();
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -2,8 +2,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -11,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
@@ -126,11 +128,12 @@
 			}
 		});
 		List<TurnRecord> chain = chain(find.turn());
-		return new PeerMessage.TurnFound(searched, (chain != null) ? chain : List.of());
+		return new PeerMessage.TurnFound(this.membership.generation(), searched, (chain != null) ? chain : List.of());
 	}
 
 	/**
-	 * Search of a chain at all other daemons.
+	 * Search of a chain at all other daemons. A daemon may believe that it holds a shard
+	 * that it has lost, so its answer counts only if the store confirms it afterwards.
 	 */
 	private final class Search {
 
@@ -138,7 +141,7 @@
 
 		private final Consumer<PeerMessage> reply;
 
-		private final Set<Integer> missing = new HashSet<>();
+		private final Map<String, PeerMessage.TurnFound> answers = new HashMap<>();
 
 		private int waiting;
 
@@ -151,33 +154,29 @@
 
 		void start() {
 			Membership membership = ProgramOwner.this.membership;
-			for (int shard = 0; shard < membership.shardCount(); shard++) {
-				if (!membership.holds(shard)) {
-					this.missing.add(shard);
-				}
-			}
+			PeerMessage.FindTurn find = new PeerMessage.FindTurn(String.valueOf(this.open.parent()));
+			this.answers.put(membership.self().peerAddress(), find(find));
 			Set<String> peers = membership.peers();
 			this.waiting = peers.size();
-			PeerMessage.FindTurn find = new PeerMessage.FindTurn(String.valueOf(this.open.parent()));
 			for (String peer : peers) {
 				ProgramOwner.this.peers.request(peer, find, FIND_TIMEOUT_MS, new ReplyListener() {
 					@Override
 					public void reply(PeerMessage message) {
-						answered((PeerMessage.TurnFound) message);
+						answered(peer, (PeerMessage.TurnFound) message);
 					}
 
 					@Override
 					public void failed(String cause) {
-						answered(new PeerMessage.TurnFound(List.of(), List.of()));
+						answered(peer, new PeerMessage.TurnFound(0, List.of(), List.of()));
 					}
 				});
 			}
 			if (peers.isEmpty()) {
-				finish();
+				membership.confirm(this::confirmed);
 			}
 		}
 
-		private void answered(PeerMessage.TurnFound found) {
+		private void answered(String peer, PeerMessage.TurnFound found) {
 			this.waiting--;
 			if (this.done) {
 				return;
@@ -187,9 +186,9 @@
 				adopt(found.chain());
 				return;
 			}
-			this.missing.removeAll(found.shards());
+			this.answers.put(peer, found);
 			if (this.waiting == 0) {
-				finish();
+				ProgramOwner.this.membership.confirm(this::confirmed);
 			}
 		}
 
@@ -203,12 +202,23 @@
 			reserve(shard, this.open, chain, this.reply);
 		}
 
-		private void finish() {
-			this.done = true;
-			TurnStatus status = this.missing.isEmpty() ? TurnStatus.NO_SUCH_TURN : TurnStatus.UNCERTAIN;
-			logger.info("turn {} continues {}, which was not found; shards without an answer: {}", this.open.turn(),
-					this.open.parent(), this.missing);
-			this.reply.accept(new PeerMessage.TurnOpened(status, NO_PROMPT));
+		private void confirmed(@Nullable ShardHolders holders) {
+			boolean complete = holders != null && isConfirmed(holders);
+			logger.info("turn {} continues {}, which was not found; certain: {}", this.open.turn(), this.open.parent(),
+					complete);
+			this.reply.accept(
+					new PeerMessage.TurnOpened(complete ? TurnStatus.NO_SUCH_TURN : TurnStatus.UNCERTAIN, NO_PROMPT));
+		}
+
+		private boolean isConfirmed(ShardHolders holders) {
+			for (int shard = 0; shard < ProgramOwner.this.membership.shardCount(); shard++) {
+				MemberName holder = MemberName.parse(holders.members().getOrDefault(shard, ""));
+				PeerMessage.TurnFound answer = (holder != null) ? this.answers.get(holder.peerAddress()) : null;
+				if (answer == null || answer.generation() != holders.generation() || !answer.shards().contains(shard)) {
+					return false;
+				}
+			}
+			return true;
 		}
 
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -5,8 +5,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -19,6 +21,7 @@
 import org.hemlockgw.core.pool.PromptPart;
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
 
 /**
@@ -74,7 +77,7 @@
 			out.packInt(6).packString(find.turn());
 		}
 		else if (message instanceof PeerMessage.TurnFound found) {
-			out.packInt(7).packArrayHeader(found.shards().size());
+			out.packInt(7).packLong(found.generation()).packArrayHeader(found.shards().size());
 			for (int shard : found.shards()) {
 				out.packInt(shard);
 			}
@@ -108,6 +111,12 @@
 		else if (message instanceof PeerMessage.SlotQueued) {
 			out.packInt(14);
 		}
+		else if (message instanceof PeerMessage.AskHolders) {
+			out.packInt(15);
+		}
+		else if (message instanceof PeerMessage.Holders holders) {
+			writeHolders(out.packInt(16), holders.holders());
+		}
 	}
 
 	/**
@@ -145,11 +154,14 @@
 			case 12 -> new PeerMessage.AssignmentChanged();
 			case 13 -> new PeerMessage.ServerLost(in.unpackString());
 			case 14 -> new PeerMessage.SlotQueued();
+			case 15 -> new PeerMessage.AskHolders();
+			case 16 -> new PeerMessage.Holders(readHolders(in));
 			default -> throw new IOException("unknown message type " + type);
 		};
 	}
 
 	private static PeerMessage readFound(MessageUnpacker in) throws IOException {
+		long generation = in.unpackLong();
 		List<Integer> shards = new ArrayList<>();
 		for (int left = in.unpackArrayHeader(); left > 0; left--) {
 			shards.add(in.unpackInt());
@@ -158,7 +170,7 @@
 		for (int left = in.unpackArrayHeader(); left > 0; left--) {
 			chain.add(readTurn(in));
 		}
-		return new PeerMessage.TurnFound(shards, chain);
+		return new PeerMessage.TurnFound(generation, shards, chain);
 	}
 
 	/**
@@ -230,6 +242,22 @@
 				: null;
 	}
 
+	private static void writeHolders(MessagePacker out, ShardHolders holders) throws IOException {
+		out.packLong(holders.generation()).packMapHeader(holders.members().size());
+		for (Map.Entry<Integer, String> entry : holders.members().entrySet()) {
+			out.packInt(entry.getKey()).packString(entry.getValue());
+		}
+	}
+
+	private static ShardHolders readHolders(MessageUnpacker in) throws IOException {
+		long generation = in.unpackLong();
+		Map<Integer, String> members = new HashMap<>();
+		for (int left = in.unpackMapHeader(); left > 0; left--) {
+			members.put(in.unpackInt(), in.unpackString());
+		}
+		return new ShardHolders(generation, members);
+	}
+
 	private static void writeText(MessagePacker out, @Nullable String text) throws IOException {
 		if (text == null) {
 			out.packNil();
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
 
 /**
@@ -96,10 +97,11 @@
 	/**
 	 * Answer to {@link FindTurn}.
 	 *
-	 * @param shards shards that were searched with complete state
+	 * @param generation assignment that the daemon knows
+	 * @param shards shards that it holds and has searched with complete state
 	 * @param chain the chain; empty if it is not here
 	 */
-	record TurnFound(List<Integer> shards, List<TurnRecord> chain) implements PeerMessage {
+	record TurnFound(long generation, List<Integer> shards, List<TurnRecord> chain) implements PeerMessage {
 	}
 
 	/**
@@ -152,6 +154,21 @@
 	record HoldSlot(String pool, SlotRequest request, String server) implements PeerMessage {
 	}
 
+	/**
+	 * Asks for the holders of all shards, when the store does not answer. Answered by
+	 * {@link Holders}.
+	 */
+	record AskHolders() implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link AskHolders}.
+	 *
+	 * @param holders the newest assignment that the daemon knows
+	 */
+	record Holders(ShardHolders holders) implements PeerMessage {
+	}
+
 	/**
 	 * Tells that shards changed hands, so that the receiver asks the store at once. Not
 	 * answered.
--- /dev/null
+++ b/gateway/src/test/java/org/hemlockgw/gateway/entry/EventScannerTests.java
@@ -0,0 +1,44 @@
+package org.hemlockgw.gateway.entry;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.Unpooled;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link EventScanner}.
+ */
+class EventScannerTests {
+
+	private static final String STREAM = "id: 1\ndata: one\n\nid: 2\ndata:two\ndata: more\n\n: comment\n\n"
+			+ "x-version: 3\nid: 3\ndata:\n\n";
+
+	// Guards against output that depends on where the stream is cut into parts.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2, 3, 7, 1000 })
+	void dataOfEachEventIsFollowedByALineFeed(int partBytes) {
+		EventScanner scanner = new EventScanner();
+		byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+		for (int from = 0; from < bytes.length; from += partBytes) {
+			scanner.add(Unpooled.wrappedBuffer(bytes, from, Math.min(partBytes, bytes.length - from)));
+		}
+		assertThat(new String(scanner.output(), StandardCharsets.UTF_8)).isEqualTo("one\ntwo\nmore\n\n");
+		assertThat(scanner.events()).isEqualTo(3);
+		assertThat(scanner.isAtBoundary()).isTrue();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "'data: a\r\n\r\n', 1, true", "'data: a\r\rdata: b\r\r', 2, true", "'data: a\n', 0, false",
+			"'data: a', 0, false", "'', 0, true", "'datab: a\n\n', 0, true" })
+	void eventEndsAtAnEmptyLine(String text, int events, boolean atBoundary) {
+		EventScanner scanner = new EventScanner();
+		scanner.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+		assertThat(scanner.events()).isEqualTo(events);
+		assertThat(scanner.isAtBoundary()).isEqualTo(atBoundary);
+	}
+
+}
--- /dev/null
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -0,0 +1,85 @@
+package org.hemlockgw.gateway.peer;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.hemlockgw.core.pool.PromptPart;
+import org.hemlockgw.core.pool.SlotAnswer;
+import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.store.ShardHolders;
+import org.hemlockgw.core.turn.TurnRecord;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link PeerCodec}.
+ */
+class PeerCodecTests {
+
+	private static final TurnRecord TURN = new TurnRecord("t1", "p1", "t0", new byte[] { 1, 2 }, new byte[] { 3 },
+			Instant.ofEpochMilli(123_456), Duration.ofSeconds(60));
+
+	private static final SlotRequest REQUEST = new SlotRequest("r1", "d1", 1, true, 250, 3000,
+			List.of(new PromptPart("ab", 512)), Set.of("s1"));
+
+	static Stream<PeerMessage> messages() {
+		return Stream.of(new PeerMessage.Hello("d1"), new PeerMessage.OpenTurn("t1", "p1", null, 5000, 80, 60_000),
+				new PeerMessage.OpenTurn("t1", "p1", "t0", 5000, 80, 60_000), new PeerMessage.ReservationStored(true),
+				new PeerMessage.TurnClosed(TurnStatus.NOT_OWNER), new PeerMessage.FindTurn("t1"),
+				new PeerMessage.AcquireSlot("pool", REQUEST),
+				new PeerMessage.SlotAnswered(new SlotAnswer("s1", "127.0.0.1:1", 0, "")),
+				new PeerMessage.SlotAnswered(SlotAnswer.refused(250, "full")), new PeerMessage.SlotAnswered(null),
+				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
+				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
+				new PeerMessage.ServerLost("abc"), new PeerMessage.AskHolders(),
+				new PeerMessage.Holders(new ShardHolders(4, Map.of(0, "d1", 1, "d2"))));
+	}
+
+	@ParameterizedTest
+	@MethodSource("messages")
+	void messageArrivesUnchanged(PeerMessage message) throws IOException {
+		PeerCodec.Frame frame = PeerCodec.decode(PeerCodec.encode(new PeerCodec.Frame(7, message)));
+		assertThat(frame).isEqualTo(new PeerCodec.Frame(7, message));
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void turnArrivesUnchanged(boolean found) throws IOException {
+		PeerMessage message = found ? new PeerMessage.TurnFound(5, List.of(1, 2), List.of(TURN))
+				: new PeerMessage.CloseTurn(TURN, true, 34);
+		PeerMessage decoded = PeerCodec.decode(PeerCodec.encode(new PeerCodec.Frame(7, message))).message();
+		TurnRecord turn = (decoded instanceof PeerMessage.TurnFound answer) ? answer.chain().get(0)
+				: ((PeerMessage.CloseTurn) decoded).record();
+		assertThat(turn.input()).isEqualTo(TURN.input());
+		assertThat(turn.output()).isEqualTo(TURN.output());
+		assertThat(turn.parent()).isEqualTo(TURN.parent());
+		assertThat(turn.expiresAt()).isEqualTo(TURN.expiresAt());
+	}
+
+	// Guards against other exceptions than the one that closes the connection.
+	@ParameterizedTest
+	@MethodSource("messages")
+	void cutFrameIsMalformed(PeerMessage message) throws IOException {
+		byte[] bytes = PeerCodec.encode(new PeerCodec.Frame(7, message));
+		for (int length = 0; length < bytes.length; length++) {
+			try {
+				PeerCodec.decode(Arrays.copyOf(bytes, length));
+				throw new AssertionError("frame of " + length + " bytes was read");
+			}
+			catch (IOException expected) {
+				assertThat(expected).isNotNull();
+			}
+		}
+	}
+
+}
--- a/standins/src/main/java/org/hemlockgw/standins/http/Exchange.java
+++ b/standins/src/main/java/org/hemlockgw/standins/http/Exchange.java
@@ -67,27 +67,36 @@
 	}
 
 	/**
-	 * Returns a number of the query.
+	 * Returns a parameter of the query.
 	 * @param name name of the parameter
 	 * @param absent value when the parameter is missing
-	 * @return the value
+	 * @return the decoded value
 	 */
-	public long queryNumber(String name, long absent) {
+	public String queryText(String name, String absent) {
 		for (String pair : this.rawQuery.split("&", -1)) {
-			if (!pair.startsWith(name + "=")) {
-				continue;
-			}
-			String value = pair.substring(name.length() + 1);
-			try {
-				return Long.parseLong(value);
-			}
-			catch (NumberFormatException ex) {
-				throw new HttpRejection(400, name + " must be a whole number, was '" + value + "'");
+			if (pair.startsWith(name + "=")) {
+				return URLDecoder.decode(pair.substring(name.length() + 1), StandardCharsets.UTF_8);
 			}
 		}
 		return absent;
 	}
 
+	/**
+	 * Returns a number of the query.
+	 * @param name name of the parameter
+	 * @param absent value when the parameter is missing
+	 * @return the value
+	 */
+	public long queryNumber(String name, long absent) {
+		String value = queryText(name, String.valueOf(absent));
+		try {
+			return Long.parseLong(value);
+		}
+		catch (NumberFormatException ex) {
+			throw new HttpRejection(400, name + " must be a whole number, was '" + value + "'");
+		}
+	}
+
 	public @Nullable String header(String name) {
 		Header header = this.request.getFirstHeader(name);
 		return (header != null) ? header.getValue() : null;
@@ -134,6 +143,11 @@
 		this.response.setEntity(new ByteArrayEntity(Json.MAPPER.writeValueAsBytes(body), ContentType.APPLICATION_JSON));
 	}
 
+	public void respondBytes(int status, byte[] body) {
+		this.response.setCode(status);
+		this.response.setEntity(new ByteArrayEntity(body, ContentType.APPLICATION_OCTET_STREAM));
+	}
+
 	public void respondError(int status, String message) throws IOException {
 		respond(status, Map.of("error", Map.of("message", message)));
 	}
--- /dev/null
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -0,0 +1,221 @@
+package org.hemlockgw.standins.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.hemlockgw.standins.http.Exchange;
+import org.hemlockgw.standins.http.StandinHttpServer;
+
+/**
+ * Stand-in of the platform's store: keyed topics, producers with epochs, one group, and
+ * switches for an outage and for lost answers.
+ */
+public final class StoreServer implements AutoCloseable {
+
+	/** Items of one page, small so that paging is used. */
+	private static final int PAGE_ITEMS = 50;
+
+	private final StandinHttpServer server;
+
+	private final Map<String, StorePartition> partitions = new HashMap<>();
+
+	private final TreeMap<String, Long> members = new TreeMap<>();
+
+	private final int partitionsPerTopic;
+
+	private final TreeSet<String> topics = new TreeSet<>();
+
+	private long generation;
+
+	private boolean down;
+
+	private int answersToLose;
+
+	public StoreServer(int partitionsPerTopic) {
+		this.partitionsPerTopic = partitionsPerTopic;
+		this.server = new StandinHttpServer("127.0.0.1:0", this::handle);
+		this.server.start();
+	}
+
+	public String address() {
+		return this.server.address();
+	}
+
+	/**
+	 * Starts or ends an outage.
+	 * @param value true to answer 503
+	 */
+	public synchronized void setDown(boolean value) {
+		this.down = value;
+	}
+
+	/**
+	 * Loses the answers of the next appends, which are done all the same.
+	 * @param count how many
+	 */
+	public synchronized void loseAnswers(int count) {
+		this.answersToLose = count;
+	}
+
+	/**
+	 * Writes a record as the operator or an engine does.
+	 * @param topic a keyed topic
+	 * @param key key
+	 * @param value value; empty to drop the key
+	 */
+	public synchronized void put(String topic, String key, String value) {
+		byte[] name = key.getBytes(StandardCharsets.UTF_8);
+		byte[] text = value.getBytes(StandardCharsets.UTF_8);
+		ByteBuffer record = ByteBuffer.allocate(Integer.BYTES + 1 + name.length + text.length);
+		record.putInt(1 + name.length + text.length).put((byte) name.length).put(name).put(text);
+		partition(topic, 0).append(null, 0, 0, record.array());
+		notifyAll();
+	}
+
+	private StorePartition partition(String topic, long part) {
+		return this.partitions.computeIfAbsent(topic + "/" + part, (key) -> new StorePartition());
+	}
+
+	private void handle(Exchange exchange) throws IOException {
+		synchronized (this) {
+			if (this.down) {
+				exchange.respondError(503, "down");
+				return;
+			}
+		}
+		switch (exchange.route()) {
+			case "POST /log-append" -> append(exchange);
+			case "GET /log-read" -> read(exchange);
+			case "GET /log-newest" -> newest(exchange);
+			case "POST /log-join" -> join(exchange);
+			case "POST /log-leave" -> leave(exchange);
+			case "GET /log-owners" -> owners(exchange);
+			default -> exchange.respondError(404, exchange.route());
+		}
+	}
+
+	private void append(Exchange exchange) throws IOException {
+		byte[] body = exchange.body();
+		Map<String, Object> answer;
+		synchronized (this) {
+			answer = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0)).append(
+					exchange.queryText("producer", "p"), exchange.queryNumber("epoch", 0),
+					exchange.queryNumber("seq", 0), body);
+			notifyAll();
+			if (body.length > 0 && this.answersToLose > 0) {
+				this.answersToLose--;
+				throw new IOException("answer is lost");
+			}
+		}
+		exchange.respond((Integer) answer.getOrDefault("status", 500), answer);
+	}
+
+	private synchronized void read(Exchange exchange) throws IOException {
+		StorePartition partition = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0));
+		long from = exchange.queryNumber("from", 0);
+		long until = System.nanoTime() + exchange.queryNumber("wait_ms", 0) * 1_000_000;
+		try {
+			for (long left = until - System.nanoTime(); from >= partition.end()
+					&& left > 0; left = until - System.nanoTime()) {
+				wait(left / 1_000_000, (int) (left % 1_000_000));
+			}
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("stopped", ex);
+		}
+		if (from < partition.first()) {
+			exchange.respond(410, Map.of("first", partition.first()));
+			return;
+		}
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		DataOutputStream out = new DataOutputStream(bytes);
+		out.writeLong(partition.end());
+		out.writeLong(partition.first());
+		for (long offset = from; offset < partition.end(); offset++) {
+			byte[] record = partition.record(offset);
+			out.writeInt(record.length);
+			out.write(record);
+		}
+		exchange.respondBytes(200, bytes.toByteArray());
+	}
+
+	private synchronized void newest(Exchange exchange) throws IOException {
+		StorePartition partition = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0));
+		Map<String, Long> rest = partition.newest().tailMap(exchange.queryText("after", ""), false);
+		List<Map<String, Object>> items = new ArrayList<>();
+		for (Map.Entry<String, Long> entry : rest.entrySet()) {
+			if (items.size() == PAGE_ITEMS) {
+				break;
+			}
+			byte[] record = partition.record(entry.getValue());
+			byte[] value = Arrays.copyOfRange(record, StorePartition.valueOffset(record), record.length);
+			items.add(Map.of("key", entry.getKey(), "value", Base64.getEncoder().encodeToString(value), "offset",
+					entry.getValue()));
+		}
+		exchange.respond(200, Map.of("items", items, "has_more", rest.size() > items.size(), "end", partition.end()));
+	}
+
+	private synchronized void join(Exchange exchange) throws IOException {
+		JsonNode body = exchange.json(JsonNode.class);
+		String member = body.path("member").asText();
+		body.path("topics").forEach((topic) -> this.topics.add(topic.asText()));
+		long now = System.nanoTime();
+		boolean fresh = this.members.put(member, now + body.path("ttl_ms").asLong() * 1_000_000) == null;
+		boolean expired = this.members.values().removeIf((until) -> until - now < 0);
+		if (fresh || expired) {
+			this.generation++;
+		}
+		List<List<Object>> rows = new ArrayList<>();
+		assignment().forEach((row, holder) -> {
+			if (holder.equals(member)) {
+				rows.add(row);
+			}
+		});
+		exchange.respond(200, Map.of("generation", this.generation, "parts", rows));
+	}
+
+	private synchronized void leave(Exchange exchange) throws IOException {
+		if (this.members.remove(exchange.json(JsonNode.class).path("member").asText()) != null) {
+			this.generation++;
+		}
+		exchange.respond(200, Map.of());
+	}
+
+	private synchronized void owners(Exchange exchange) throws IOException {
+		List<List<Object>> rows = new ArrayList<>();
+		assignment().forEach((row, holder) -> rows.add(List.of(row.get(0), row.get(1), holder, 0)));
+		exchange.respond(200, Map.of("generation", this.generation, "parts", rows));
+	}
+
+	private Map<List<Object>, String> assignment() {
+		List<String> names = List.copyOf(this.members.keySet());
+		Map<List<Object>, String> rows = new LinkedHashMap<>();
+		int next = 0;
+		for (String topic : this.topics) {
+			for (int part = 0; part < this.partitionsPerTopic && !names.isEmpty(); part++) {
+				rows.put(List.of(topic, part, 0), names.get(next++ % names.size()));
+			}
+		}
+		return rows;
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
@@ -0,0 +1,177 @@
+package org.hemlockgw.standins.platform;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.hemlockgw.standins.http.Exchange;
+import org.hemlockgw.standins.http.StandinHttpServer;
+
+/**
+ * Stand-in of an engine or plain service of the platform. A streaming request is answered
+ * with events, any other with a text.
+ */
+public final class TurnEngine implements AutoCloseable {
+
+	private final String id;
+
+	private final StandinHttpServer server;
+
+	private final List<Run> runs = new CopyOnWriteArrayList<>();
+
+	private volatile Fault fault = Fault.NONE;
+
+	private volatile int events = 3;
+
+	private volatile long pauseMs;
+
+	public TurnEngine(String id) {
+		this.id = id;
+		this.server = new StandinHttpServer("127.0.0.1:0", this::handle);
+		this.server.start();
+	}
+
+	public String id() {
+		return this.id;
+	}
+
+	public String address() {
+		return this.server.address();
+	}
+
+	/**
+	 * Returns the entry that the engine writes to the store.
+	 * @param service name of its service
+	 * @param state {@code ready} or {@code draining}
+	 * @return entry as JSON
+	 */
+	public String entry(String service, String state) {
+		return "{\"service\":\"" + service + "\",\"address\":\"" + address()
+				+ "\",\"zone\":\"here-a\",\"version\":\"v1\",\"slots\":8,\"state\":\"" + state + "\",\"seq\":1}";
+	}
+
+	public List<Run> runs() {
+		return List.copyOf(this.runs);
+	}
+
+	public void setFault(Fault value) {
+		this.fault = value;
+	}
+
+	/**
+	 * Sets how streams look.
+	 * @param count events of each stream
+	 * @param pause pause before each event in milliseconds
+	 */
+	public void setEvents(int count, long pause) {
+		this.events = count;
+		this.pauseMs = pause;
+	}
+
+	private void handle(Exchange exchange) throws IOException {
+		String request = String.valueOf(exchange.header("X-Request-Id"));
+		if (!this.id.equals(exchange.header("X-Target-Instance"))) {
+			exchange.setHeader("X-Instance-Id", this.id);
+			exchange.respondError(421, "another engine");
+			return;
+		}
+		Fault now = this.fault;
+		if (now == Fault.FULL) {
+			exchange.setHeader("X-Not-Executed", "1");
+			exchange.respondError(503, "full");
+			return;
+		}
+		String body = new String(exchange.body(), StandardCharsets.UTF_8);
+		this.runs.add(new Run(request, body));
+		if (now == Fault.ANSWER_LOST) {
+			throw new IOException("answer is lost");
+		}
+		if (now != Fault.UNSIGNED) {
+			exchange.setHeader("X-Server-Signature", "signature-of-" + request);
+		}
+		exchange.setHeader("X-Request-Id", (now == Fault.FOREIGN_ID) ? "another" : request);
+		if (exchange.header("X-Token-Usage") == null) {
+			exchange.respond(200, Map.of("request", request));
+			return;
+		}
+		exchange.respondEvents((out) -> {
+			for (int event = 1; event <= this.events; event++) {
+				pause();
+				out.write(("id: " + event + "\ndata: " + request + "-" + event + "\n\n")
+					.getBytes(StandardCharsets.UTF_8));
+				out.flush();
+				if (now == Fault.CUT && event == 1) {
+					throw new IOException("cut");
+				}
+			}
+		});
+	}
+
+	private void pause() throws IOException {
+		try {
+			Thread.sleep(this.pauseMs);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("stopped", ex);
+		}
+	}
+
+	/**
+	 * Returns the bodies of one request.
+	 * @param request its identifier
+	 * @return bodies, one for each run
+	 */
+	public List<String> bodies(String request) {
+		List<String> found = new ArrayList<>();
+		this.runs.forEach((run) -> {
+			if (run.request().equals(request)) {
+				found.add(run.body());
+			}
+		});
+		return found;
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+	/**
+	 * What goes wrong with each request.
+	 */
+	public enum Fault {
+
+		/** Nothing. */
+		NONE,
+
+		/** The request is rejected and not run. */
+		FULL,
+
+		/** The request runs and its connection ends without an answer. */
+		ANSWER_LOST,
+
+		/** The stream ends after its first event. */
+		CUT,
+
+		/** The answer names another request. */
+		FOREIGN_ID,
+
+		/** The answer has no signature. */
+		UNSIGNED
+
+	}
+
+	/**
+	 * A request that ran.
+	 *
+	 * @param request its identifier
+	 * @param body its body
+	 */
+	public record Run(String request, String body) {
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Stand-ins of the users' platform: its store and its engines.
+ */
+@NullMarked
+package org.hemlockgw.standins.platform;
+
+import org.jspecify.annotations.NullMarked;
