Keep copies at other daemons while the store is away

Whoever takes a shard over later collects the copies. A repeated end of a turn is charged once. Ruled out: going on from memory alone, since the owner may die before the store is back.

--- a/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
+++ b/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -126,6 +127,18 @@
 		return new Expired(goneTurns, gonePrograms);
 	}
 
+	public boolean contains(String turn) {
+		return this.turns.containsKey(turn);
+	}
+
+	public Collection<TurnRecord> turns() {
+		return List.copyOf(this.turns.values());
+	}
+
+	public Map<String, ProgramBudget> budgets() {
+		return Map.copyOf(this.budgets);
+	}
+
 	public int turnCount() {
 		return this.turns.size();
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -195,6 +195,12 @@
 		else if (message instanceof PeerMessage.HoldSlot hold) {
 			this.slots.handle(hold);
 		}
+		else if (message instanceof PeerMessage.KeepCopies keep) {
+			reply.accept(this.membership.handle(keep));
+		}
+		else if (message instanceof PeerMessage.CollectCopies collect) {
+			reply.accept(this.membership.handle(collect));
+		}
 		else if (message instanceof PeerMessage.AskHolders) {
 			reply.accept(new PeerMessage.Holders(this.membership.known()));
 		}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
@@ -0,0 +1,174 @@
+package org.hemlockgw.gateway.owner;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.peer.ReplyListener;
+
+/**
+ * Copies of records at other daemons while the store is away. A daemon keeps copies only
+ * if the store does not answer it either: then nobody can take the shard over, so the
+ * writer is still the only one.
+ */
+final class Copies implements CopySender {
+
+	/** Daemons that keep each record, in other data centres as far as there are any. */
+	private static final int COPIES = 2;
+
+	/** Time in milliseconds for a daemon's reply; a round trip takes about two. */
+	private static final long REPLY_TIMEOUT_MS = 250;
+
+	/** Time in seconds after which a daemon that holds no shard is asked no longer. */
+	private static final long FORGET_S = 120;
+
+	private final PeerLinks peers;
+
+	private final StoreHealth health;
+
+	private final MemberName self;
+
+	private final LongSupplier nanoClock;
+
+	private final Stash stash;
+
+	private final Map<MemberName, Long> known = new HashMap<>();
+
+	private int turn;
+
+	Copies(PeerLinks peers, StoreHealth health, MemberName self, LongSupplier nanoClock) {
+		this.peers = peers;
+		this.health = health;
+		this.self = self;
+		this.nanoClock = nanoClock;
+		this.stash = new Stash(nanoClock);
+	}
+
+	void seen(Collection<MemberName> members) {
+		long now = this.nanoClock.getAsLong();
+		members.forEach((member) -> this.known.put(member, now));
+		this.known.remove(this.self);
+		this.known.values().removeIf((since) -> now - since > TimeUnit.SECONDS.toNanos(FORGET_S));
+	}
+
+	@Override
+	public boolean isWanted() {
+		return this.health.isAway() && !this.known.isEmpty();
+	}
+
+	@Override
+	public void send(int shard, long epoch, List<KeyedValue> records, Consumer<Boolean> done) {
+		List<MemberName> targets = targets();
+		PeerMessage.KeepCopies keep = new PeerMessage.KeepCopies(shard, epoch, records);
+		new Gathering(targets.size(), (answers) -> done.accept(!targets.isEmpty() && answers.size() == targets.size()
+				&& answers.stream().allMatch((answer) -> answer.equals(new PeerMessage.CopiesKept(true)))))
+			.ask(targets, keep);
+	}
+
+	// Another choice with each call, so that a daemon that is gone is not asked for ever.
+	private List<MemberName> targets() {
+		Map<String, MemberName> byDataCentre = new LinkedHashMap<>();
+		List<MemberName> all = new ArrayList<>(this.known.keySet());
+		this.turn++;
+		for (int i = 0; i < all.size(); i++) {
+			MemberName member = all.get((i + this.turn) % all.size());
+			if (!member.dataCentre().equals(this.self.dataCentre())) {
+				byDataCentre.putIfAbsent(member.dataCentre(), member);
+			}
+		}
+		List<MemberName> targets = new ArrayList<>(byDataCentre.values());
+		for (int i = 0; i < all.size() && targets.size() < COPIES; i++) {
+			MemberName member = all.get((i + this.turn) % all.size());
+			if (!targets.contains(member)) {
+				targets.add(member);
+			}
+		}
+		return targets.subList(0, Math.min(COPIES, targets.size()));
+	}
+
+	/**
+	 * Asks all daemons for copies of a shard.
+	 * @param shard number of the shard
+	 * @param epoch epoch of its new writer
+	 * @param done receives what was found
+	 */
+	void collect(int shard, long epoch, Consumer<List<KeyedValue>> done) {
+		List<KeyedValue> found = new ArrayList<>(this.stash.collect(shard, epoch));
+		List<MemberName> targets = new ArrayList<>(this.known.keySet());
+		new Gathering(targets.size(), (answers) -> {
+			answers.forEach((answer) -> found.addAll(((PeerMessage.CopiesFound) answer).records()));
+			done.accept(found);
+		}).ask(targets, new PeerMessage.CollectCopies(shard, epoch));
+	}
+
+	PeerMessage.CopiesFound handle(PeerMessage.CollectCopies collect) {
+		return new PeerMessage.CopiesFound(this.stash.collect(collect.shard(), collect.epoch()));
+	}
+
+	PeerMessage.CopiesKept handle(PeerMessage.KeepCopies keep) {
+		return new PeerMessage.CopiesKept(
+				this.health.isAway() && this.stash.put(keep.shard(), keep.epoch(), keep.records()));
+	}
+
+	void keepOwn(int shard, long epoch, List<KeyedValue> records) {
+		if (!records.isEmpty()) {
+			this.stash.put(shard, epoch, records);
+		}
+	}
+
+	/**
+	 * Replies of several daemons to one question.
+	 */
+	private final class Gathering {
+
+		private final Consumer<List<PeerMessage>> done;
+
+		private final List<PeerMessage> answers = new ArrayList<>();
+
+		private int waiting;
+
+		Gathering(int waiting, Consumer<List<PeerMessage>> done) {
+			this.waiting = waiting;
+			this.done = done;
+		}
+
+		void ask(List<MemberName> targets, PeerMessage question) {
+			if (targets.isEmpty()) {
+				this.done.accept(this.answers);
+				return;
+			}
+			for (MemberName target : targets) {
+				Copies.this.peers.request(target.peerAddress(), question, REPLY_TIMEOUT_MS, new ReplyListener() {
+					@Override
+					public void reply(PeerMessage message) {
+						Gathering.this.answers.add(message);
+						answered();
+					}
+
+					@Override
+					public void failed(String cause) {
+						answered();
+					}
+				});
+			}
+		}
+
+		private void answered() {
+			this.waiting--;
+			if (this.waiting == 0) {
+				this.done.accept(this.answers);
+			}
+		}
+
+	}
+
+}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -63,6 +63,10 @@
 
 	private final PeerLinks peers;
 
+	private final StoreHealth health;
+
+	private final Copies copies;
+
 	private ShardHolders known = new ShardHolders(0, Map.of());
 
 	private Map<Integer, MemberName> holders = Map.of();
@@ -90,6 +94,8 @@
 		this.clock = clock;
 		this.self = self;
 		this.peers = peers;
+		this.health = new StoreHealth(System::nanoTime);
+		this.copies = new Copies(peers, this.health, self, System::nanoTime);
 		this.changed = changed;
 	}
 
@@ -126,7 +132,8 @@
 			if (error != null) {
 				logger.warn("joining failed: {}", error.getMessage());
 			}
-			else if (!this.leaving) {
+			else {
+				this.health.answered();
 				apply(assignment);
 			}
 			if (this.joinAgain) {
@@ -136,7 +143,7 @@
 	}
 
 	private void apply(ShardAssignment assignment) {
-		if (assignment.generation() < this.generation) {
+		if (this.leaving || assignment.generation() < this.generation) {
 			return;
 		}
 		boolean news = assignment.generation() != this.generation;
@@ -159,9 +166,11 @@
 
 	private void take(int number) {
 		long epoch = 2 * (this.generation * TAKE_OVERS_PER_GENERATION + this.takeOvers++ % TAKE_OVERS_PER_GENERATION);
-		OwnedShard shard = new OwnedShard(this.loop, this.store, this.clock, number, epoch, () -> fenced(number));
+		ShardWriter writer = new ShardWriter(this.loop, this.store, this.health, this.copies, number, epoch,
+				() -> fenced(number));
+		OwnedShard shard = new OwnedShard(this.loop, this.store, this.clock, number, writer);
 		this.owned.put(number, shard);
-		shard.take(() -> logger.debug("shard {} answers in epoch {}", number, epoch));
+		shard.take((done) -> this.copies.collect(number, epoch, done));
 	}
 
 	private void fenced(int number) {
@@ -172,10 +181,28 @@
 	private void drop(int number) {
 		OwnedShard shard = this.owned.remove(number);
 		if (shard != null) {
-			shard.end();
+			this.copies.keepOwn(number, shard.epoch(), shard.end());
 		}
 	}
 
+	/**
+	 * Gives up a shard that another daemon has taken over and returns what it lacks.
+	 * @param collect the request of the new holder
+	 * @return records that the store may not have
+	 */
+	public PeerMessage.CopiesFound handle(PeerMessage.CollectCopies collect) {
+		OwnedShard shard = this.owned.get(collect.shard());
+		if (shard != null && shard.epoch() < collect.epoch()) {
+			drop(collect.shard());
+			join();
+		}
+		return this.copies.handle(collect);
+	}
+
+	public PeerMessage.CopiesKept handle(PeerMessage.KeepCopies keep) {
+		return this.copies.handle(keep);
+	}
+
 	private void readOwners() {
 		if (this.readingOwners) {
 			return;
@@ -236,6 +263,7 @@
 			}
 		});
 		this.known = found;
+		this.copies.seen(names.values());
 		this.holders = names;
 		if (found.generation() > this.generation) {
 			Set<Integer> lost = new TreeSet<>(this.owned.keySet());
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -53,22 +53,59 @@
 
 	private boolean ended;
 
-	OwnedShard(EventLoop loop, StateStore store, InstantSource clock, int number, long epoch, Runnable fenced) {
+	OwnedShard(EventLoop loop, StateStore store, InstantSource clock, int number, ShardWriter writer) {
 		this.loop = loop;
 		this.store = store;
 		this.clock = clock;
 		this.number = number;
-		this.writer = new ShardWriter(loop, store, number, epoch, fenced);
+		this.writer = writer;
 	}
 
-	void take(Runnable done) {
+	/**
+	 * Takes the shard over.
+	 * @param collect asks other daemons for copies that the store lacks
+	 */
+	void take(Consumer<Consumer<List<KeyedValue>>> collect) {
 		this.writer.open((stored) -> {
 			if (stored) {
-				read("", done);
+				read("", () -> collect.accept(this::merge));
 			}
 		});
 	}
 
+	long epoch() {
+		return this.writer.epoch();
+	}
+
+	private void merge(List<KeyedValue> copies) {
+		if (this.ended) {
+			return;
+		}
+		List<KeyedValue> missing = new ArrayList<>();
+		TurnShard found = new TurnShard();
+		copies.forEach((copy) -> add(copy, found));
+		found.turns().forEach((turn) -> {
+			if (!this.state.contains(turn.id())) {
+				this.state.add(turn);
+				missing.add(ShardCodec.turn(turn));
+			}
+		});
+		found.budgets().forEach((program, budget) -> {
+			ProgramBudget known = this.state.knownBudget(program);
+			// Spending only grows, so the larger one is the newer one.
+			if (known == null || known.spent() + known.reserved() < budget.spent() + budget.reserved()) {
+				this.state.restore(program, budget);
+				missing.add(ShardCodec.budget(program, budget));
+			}
+		});
+		this.ready = true;
+		logger.info("shard {} is taken over with {} turns, {} records from other daemons", this.number,
+				this.state.turnCount(), missing.size());
+		if (!missing.isEmpty()) {
+			this.writer.append(missing, (stored) -> logger.debug("copies of shard {} stored: {}", this.number, stored));
+		}
+	}
+
 	private void read(String after, Runnable done) {
 		if (this.ended) {
 			return;
@@ -82,21 +119,19 @@
 			String last = after;
 			for (KeyedValue record : page.items()) {
 				last = record.key();
-				add(record);
+				add(record, this.state);
 			}
 			if (page.hasMore()) {
 				read(last, done);
 				return;
 			}
-			this.ready = true;
-			logger.info("shard {} is taken over with {} turns", this.number, this.state.turnCount());
 			done.run();
 		});
 	}
 
-	private void add(KeyedValue record) {
+	private void add(KeyedValue record, TurnShard target) {
 		try {
-			ShardCodec.read(record, this.state);
+			ShardCodec.read(record, target);
 		}
 		catch (IOException ex) {
 			logger.warn("shard {}: skipping a record: {}", this.number, String.valueOf(ex.getMessage()));
@@ -111,9 +146,13 @@
 		return this.writer.isIdle();
 	}
 
-	void end() {
+	/**
+	 * Gives the shard up.
+	 * @return records that the store may not have
+	 */
+	List<KeyedValue> end() {
 		this.ended = true;
-		this.writer.end();
+		return this.writer.end();
 	}
 
 	@Nullable List<TurnRecord> chain(String turn) {
@@ -157,7 +196,9 @@
 	void close(PeerMessage.CloseTurn close, Consumer<Boolean> stored) {
 		TurnRecord turn = close.record();
 		ProgramBudget budget = this.state.budget(turn.program(), this.clock.instant(), turn.retention());
-		budget.settle(turn.id(), close.tokens());
+		if (!close.whole() || !this.state.contains(turn.id())) {
+			budget.settle(turn.id(), close.tokens());
+		}
 		List<KeyedValue> records = new ArrayList<>();
 		records.add(ShardCodec.budget(turn.program(), budget));
 		if (close.whole()) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -18,7 +18,8 @@
 /**
  * Appends of one shard in one epoch, one call at a time. Records that arrive during a
  * call ride in the next one; only the newest of a key is written. A call whose outcome is
- * unknown is repeated with the same number until the store answers.
+ * unknown is repeated with the same number until the store answers. While the store is
+ * away, records count as durable once other daemons keep copies of them.
  */
 final class ShardWriter {
 
@@ -27,9 +28,10 @@
 	/** Pause before a failed append is repeated, in milliseconds. */
 	private static final long RETRY_MS = 60;
 
-	/**
-	 * Records in one call; 256 turns of some KB stay below the store's size of a call.
-	 */
+	/** Interval in milliseconds at which waiting records are offered to other daemons. */
+	private static final long COPY_MS = 50;
+
+	/** Records in one call; 256 turns of some KB stay below the store's size of a call. */
 	private static final int MAX_RECORDS = 256;
 
 	/** Bytes in one call; half of the smallest limit that the platform names. */
@@ -39,6 +41,10 @@
 
 	private final StateStore store;
 
+	private final StoreHealth health;
+
+	private final CopySender copies;
+
 	private final int shard;
 
 	private final long epoch;
@@ -47,7 +53,11 @@
 
 	private final Map<String, KeyedValue> pending = new LinkedHashMap<>();
 
-	private final List<Consumer<Boolean>> waiters = new ArrayList<>();
+	private final List<Waiter> waiters = new ArrayList<>();
+
+	private List<KeyedValue> inFlight = List.of();
+
+	private List<Waiter> inFlightWaiters = List.of();
 
 	private long sequence;
 
@@ -55,11 +65,16 @@
 
 	private boolean busy;
 
+	private boolean copying;
+
 	private boolean ended;
 
-	ShardWriter(EventLoop loop, StateStore store, int shard, long epoch, Runnable fenced) {
+	ShardWriter(EventLoop loop, StateStore store, StoreHealth health, CopySender copies, int shard, long epoch,
+			Runnable fenced) {
 		this.loop = loop;
 		this.store = store;
+		this.health = health;
+		this.copies = copies;
 		this.shard = shard;
 		this.epoch = epoch;
 		this.fenced = fenced;
@@ -71,16 +86,20 @@
 	 */
 	void open(Consumer<Boolean> done) {
 		this.busy = true;
-		send(List.of(), List.of(done));
+		this.inFlightWaiters = List.of(new Waiter(List.of(), done));
+		send();
 	}
 
 	// The empty append that sets an epoch has an epoch of its own, because the page does
-	// not
-	// say whether it takes a sequence number.
+	// not say whether it takes a sequence number.
 	private long currentEpoch() {
 		return this.opened ? this.epoch + 1 : this.epoch;
 	}
 
+	long epoch() {
+		return this.epoch;
+	}
+
 	/**
 	 * Appends records.
 	 * @param records the records
@@ -95,8 +114,11 @@
 			this.pending.remove(record.key());
 			this.pending.put(record.key(), record);
 		});
-		this.waiters.add(done);
+		this.waiters.add(new Waiter(records, done));
 		flush();
+		if (this.copies.isWanted()) {
+			copy();
+		}
 	}
 
 	boolean isIdle() {
@@ -105,13 +127,23 @@
 
 	/**
 	 * Ends the writer. All waiters hear that their records may not be durable.
+	 * @return records that the store may not have
 	 */
-	void end() {
+	List<KeyedValue> end() {
+		Map<String, KeyedValue> left = new LinkedHashMap<>();
+		if (this.opened && !this.ended) {
+			this.inFlight.forEach((record) -> left.put(record.key(), record));
+			left.putAll(this.pending);
+		}
 		this.ended = true;
-		List<Consumer<Boolean>> lost = List.copyOf(this.waiters);
+		List<Waiter> lost = new ArrayList<>(this.inFlightWaiters);
+		lost.addAll(this.waiters);
+		this.inFlight = List.of();
+		this.inFlightWaiters = List.of();
 		this.waiters.clear();
 		this.pending.clear();
-		lost.forEach((waiter) -> waiter.accept(false));
+		lost.forEach((waiter) -> waiter.tell(false));
+		return List.copyOf(left.values());
 	}
 
 	private void flush() {
@@ -127,38 +159,113 @@
 			batch.add(next);
 			bytes += next.value().length;
 		}
+		this.inFlight = batch;
 		// Waiters are told only once nothing that they wait for is left.
-		List<Consumer<Boolean>> told = this.pending.isEmpty() ? List.copyOf(this.waiters) : List.of();
-		if (!told.isEmpty()) {
-			this.waiters.clear();
-		}
-		send(batch, told);
+		this.inFlightWaiters = this.pending.isEmpty() ? List.copyOf(this.waiters) : List.of();
+		this.waiters.removeAll(this.inFlightWaiters);
+		send();
 	}
 
-	private void send(List<KeyedValue> batch, List<Consumer<Boolean>> told) {
+	private void send() {
 		if (this.ended) {
-			told.forEach((waiter) -> waiter.accept(false));
 			return;
 		}
-		this.store.append(this.shard, currentEpoch(), this.sequence, batch).whenComplete((outcome, error) -> {
+		this.store.append(this.shard, currentEpoch(), this.sequence, this.inFlight).whenComplete((outcome, error) -> {
+			if (this.ended) {
+				return;
+			}
 			if (error != null) {
 				logger.warn("append to shard {} failed and is repeated: {}", this.shard, error.getMessage());
-				this.loop.schedule(() -> send(batch, told), RETRY_MS, TimeUnit.MILLISECONDS);
+				this.loop.schedule(this::send, RETRY_MS, TimeUnit.MILLISECONDS);
+				copyLater();
 				return;
 			}
+			this.health.answered();
 			if (outcome == AppendOutcome.FENCED) {
 				logger.warn("shard {} was taken from epoch {}", this.shard, this.epoch);
-				end();
-				told.forEach((waiter) -> waiter.accept(false));
 				this.fenced.run();
 				return;
 			}
-			this.sequence = this.opened ? this.sequence + 1 : 0;
-			this.opened = true;
-			this.busy = false;
-			told.forEach((waiter) -> waiter.accept(true));
-			flush();
+			stored();
+		});
+		if (this.opened) {
+			copyLater();
+		}
+	}
+
+	private void stored() {
+		this.sequence = this.opened ? this.sequence + 1 : 0;
+		this.opened = true;
+		this.busy = false;
+		List<Waiter> told = this.inFlightWaiters;
+		this.inFlight = List.of();
+		this.inFlightWaiters = List.of();
+		told.forEach((waiter) -> waiter.tell(true));
+		flush();
+	}
+
+	private void copyLater() {
+		if (this.copying || !this.opened) {
+			return;
+		}
+		this.copying = true;
+		this.loop.schedule(() -> {
+			this.copying = false;
+			if (!this.busy || this.ended) {
+				return;
+			}
+			if (this.copies.isWanted()) {
+				copy();
+			}
+			copyLater();
+		}, COPY_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void copy() {
+		List<Waiter> untold = new ArrayList<>(this.inFlightWaiters);
+		untold.addAll(this.waiters);
+		untold.removeIf((waiter) -> waiter.told || waiter.copying);
+		if (untold.isEmpty() || !this.opened) {
+			return;
+		}
+		Map<String, KeyedValue> records = new LinkedHashMap<>();
+		untold.forEach((waiter) -> {
+			waiter.copying = true;
+			waiter.records.forEach((record) -> records.put(record.key(), record));
 		});
+		this.copies.send(this.shard, this.epoch, List.copyOf(records.values()), (kept) -> untold.forEach((waiter) -> {
+			waiter.copying = false;
+			if (kept && !this.ended) {
+				waiter.tell(true);
+			}
+		}));
+	}
+
+	/**
+	 * Someone who waits for records to be durable.
+	 */
+	private static final class Waiter {
+
+		private final List<KeyedValue> records;
+
+		private final Consumer<Boolean> done;
+
+		private boolean told;
+
+		private boolean copying;
+
+		Waiter(List<KeyedValue> records, Consumer<Boolean> done) {
+			this.records = records;
+			this.done = done;
+		}
+
+		void tell(boolean durable) {
+			if (!this.told) {
+				this.told = true;
+				this.done.accept(durable);
+			}
+		}
+
 	}
 
 }
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
@@ -0,0 +1,72 @@
+package org.hemlockgw.gateway.owner;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.hemlockgw.core.store.KeyedValue;
+
+/**
+ * Copies of records that other daemons, or this one before it lost a shard, could not
+ * store. Whoever takes the shard over collects them; copies of an earlier epoch are
+ * refused from then on.
+ */
+final class Stash {
+
+	/** Time in seconds for which copies are kept; longer than the store has ever been away. */
+	private static final long KEPT_S = 120;
+
+	private final LongSupplier nanoClock;
+
+	private final Map<Integer, Copies> byShard = new HashMap<>();
+
+	private final Map<Integer, Long> collectedEpochs = new HashMap<>();
+
+	Stash(LongSupplier nanoClock) {
+		this.nanoClock = nanoClock;
+	}
+
+	/**
+	 * Keeps copies.
+	 * @param shard number of the shard
+	 * @param epoch epoch of the writer
+	 * @param records the records
+	 * @return false if a later writer has collected this shard
+	 */
+	boolean put(int shard, long epoch, List<KeyedValue> records) {
+		if (this.collectedEpochs.getOrDefault(shard, -1L) > epoch) {
+			return false;
+		}
+		long now = this.nanoClock.getAsLong();
+		this.byShard.values().removeIf((copies) -> now - copies.sinceNanos > TimeUnit.SECONDS.toNanos(KEPT_S));
+		Copies copies = this.byShard.computeIfAbsent(shard, (key) -> new Copies());
+		copies.sinceNanos = now;
+		records.forEach((record) -> copies.records.put(record.key(), record));
+		return true;
+	}
+
+	/**
+	 * Returns all copies of a shard and refuses those of earlier epochs from now on.
+	 * @param shard number of the shard
+	 * @param epoch epoch of the new writer
+	 * @return records, one for each key
+	 */
+	List<KeyedValue> collect(int shard, long epoch) {
+		this.collectedEpochs.merge(shard, epoch, Math::max);
+		Copies copies = this.byShard.get(shard);
+		return (copies != null) ? new ArrayList<>(copies.records.values()) : List.of();
+	}
+
+	private static final class Copies {
+
+		private final Map<String, KeyedValue> records = new LinkedHashMap<>();
+
+		private long sinceNanos;
+
+	}
+
+}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -21,6 +21,7 @@
 import org.hemlockgw.core.pool.PromptPart;
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.store.KeyedValue;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
 
@@ -117,6 +118,19 @@
 		else if (message instanceof PeerMessage.Holders holders) {
 			writeHolders(out.packInt(16), holders.holders());
 		}
+		else if (message instanceof PeerMessage.KeepCopies keep) {
+			out.packInt(17).packInt(keep.shard()).packLong(keep.epoch());
+			writeRecords(out, keep.records());
+		}
+		else if (message instanceof PeerMessage.CopiesKept kept) {
+			out.packInt(18).packBoolean(kept.kept());
+		}
+		else if (message instanceof PeerMessage.CollectCopies collect) {
+			out.packInt(19).packInt(collect.shard()).packLong(collect.epoch());
+		}
+		else if (message instanceof PeerMessage.CopiesFound found) {
+			writeRecords(out.packInt(20), found.records());
+		}
 	}
 
 	/**
@@ -156,6 +170,10 @@
 			case 14 -> new PeerMessage.SlotQueued();
 			case 15 -> new PeerMessage.AskHolders();
 			case 16 -> new PeerMessage.Holders(readHolders(in));
+			case 17 -> new PeerMessage.KeepCopies(in.unpackInt(), in.unpackLong(), readRecords(in));
+			case 18 -> new PeerMessage.CopiesKept(in.unpackBoolean());
+			case 19 -> new PeerMessage.CollectCopies(in.unpackInt(), in.unpackLong());
+			case 20 -> new PeerMessage.CopiesFound(readRecords(in));
 			default -> throw new IOException("unknown message type " + type);
 		};
 	}
@@ -242,6 +260,22 @@
 				: null;
 	}
 
+	private static void writeRecords(MessagePacker out, List<KeyedValue> records) throws IOException {
+		out.packArrayHeader(records.size());
+		for (KeyedValue record : records) {
+			out.packString(record.key());
+			writeBytes(out, record.value());
+		}
+	}
+
+	private static List<KeyedValue> readRecords(MessageUnpacker in) throws IOException {
+		List<KeyedValue> records = new ArrayList<>();
+		for (int left = in.unpackArrayHeader(); left > 0; left--) {
+			records.add(new KeyedValue(in.unpackString(), readBytes(in)));
+		}
+		return records;
+	}
+
 	private static void writeHolders(MessagePacker out, ShardHolders holders) throws IOException {
 		out.packLong(holders.generation()).packMapHeader(holders.members().size());
 		for (Map.Entry<Integer, String> entry : holders.members().entrySet()) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.store.KeyedValue;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
 
@@ -154,6 +155,43 @@
 	record HoldSlot(String pool, SlotRequest request, String server) implements PeerMessage {
 	}
 
+	/**
+	 * Asks a daemon to keep copies while the store is away. Answered by
+	 * {@link CopiesKept}.
+	 *
+	 * @param shard number of the shard
+	 * @param epoch epoch of its writer
+	 * @param records records that the store may not have
+	 */
+	record KeepCopies(int shard, long epoch, List<KeyedValue> records) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link KeepCopies}.
+	 *
+	 * @param kept false if the store answers this daemon, or if the shard was taken over
+	 */
+	record CopiesKept(boolean kept) implements PeerMessage {
+	}
+
+	/**
+	 * Asks for all copies of a shard that was taken over. Answered by
+	 * {@link CopiesFound}.
+	 *
+	 * @param shard number of the shard
+	 * @param epoch epoch of its new writer
+	 */
+	record CollectCopies(int shard, long epoch) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link CollectCopies}.
+	 *
+	 * @param records the newest record of each key
+	 */
+	record CopiesFound(List<KeyedValue> records) implements PeerMessage {
+	}
+
 	/**
 	 * Asks for the holders of all shards, when the store does not answer. Answered by
 	 * {@link Holders}.
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -42,6 +42,8 @@
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
 				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
 				new PeerMessage.ServerLost("abc"), new PeerMessage.AskHolders(),
+				new PeerMessage.KeepCopies(3, 8, List.of()), new PeerMessage.CopiesKept(true),
+				new PeerMessage.CollectCopies(3, 10), new PeerMessage.CopiesFound(List.of()),
 				new PeerMessage.Holders(new ShardHolders(4, Map.of(0, "d1", 1, "d2"))));
 	}
 
--- a/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
@@ -104,6 +104,9 @@
 					.getBytes(StandardCharsets.UTF_8));
 				out.flush();
 				if (now == Fault.CUT && event == 1) {
+					// Closing the answer would end it as if it were whole.
+					this.server.stop();
+					this.server.start();
 					throw new IOException("cut");
 				}
 			}
