--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -201,6 +201,9 @@
 		else if (message instanceof PeerMessage.CollectCopies collect) {
 			reply.accept(this.membership.handle(collect));
 		}
+		else if (message instanceof PeerMessage.RelayAppend || message instanceof PeerMessage.RelayJoin) {
+			this.membership.relay(message, reply);
+		}
 		else if (message instanceof PeerMessage.AskHolders) {
 			reply.accept(new PeerMessage.Holders(this.membership.known()));
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
@@ -10,6 +10,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
+import org.jspecify.annotations.Nullable;
+
 import org.hemlockgw.core.store.KeyedValue;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
@@ -69,8 +71,9 @@
 	public void send(int shard, long epoch, List<KeyedValue> records, Consumer<Boolean> done) {
 		List<MemberName> targets = targets();
 		PeerMessage.KeepCopies keep = new PeerMessage.KeepCopies(shard, epoch, records);
-		new Gathering(targets.size(), (answers) -> done.accept(!targets.isEmpty() && answers.size() == targets.size()
-				&& answers.stream().allMatch((answer) -> answer.equals(new PeerMessage.CopiesKept(true)))))
+		new Gathering(targets.size(),
+				(answers) -> done.accept(!targets.isEmpty() && answers.size() == targets.size()
+						&& answers.stream().allMatch((answer) -> answer.equals(new PeerMessage.CopiesKept(true)))))
 			.ask(targets, keep);
 	}
 
@@ -95,6 +98,15 @@
 		return targets.subList(0, Math.min(COPIES, targets.size()));
 	}
 
+	/**
+	 * Returns a daemon that may reach the store, another one with each call.
+	 * @return its name, or null if none is known
+	 */
+	@Nullable MemberName helper() {
+		List<MemberName> targets = targets();
+		return targets.isEmpty() ? null : targets.get(0);
+	}
+
 	/**
 	 * Asks all daemons for copies of a shard.
 	 * @param shard number of the shard
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -51,7 +51,7 @@
 
 	private final EventLoop loop;
 
-	private final StateStore store;
+	private final RelayedStore store;
 
 	private final InstantSource clock;
 
@@ -90,12 +90,12 @@
 	public Membership(EventLoop loop, StateStore store, InstantSource clock, MemberName self, PeerLinks peers,
 			Runnable changed) {
 		this.loop = loop;
-		this.store = store;
 		this.clock = clock;
 		this.self = self;
 		this.peers = peers;
 		this.health = new StoreHealth(System::nanoTime);
 		this.copies = new Copies(peers, this.health, self, System::nanoTime);
+		this.store = new RelayedStore(store, peers, this.copies::helper);
 		this.changed = changed;
 	}
 
@@ -199,6 +199,15 @@
 		return this.copies.handle(collect);
 	}
 
+	/**
+	 * Calls the store for a daemon that it turns away.
+	 * @param request the call
+	 * @param reply takes the answer
+	 */
+	public void relay(PeerMessage request, Consumer<PeerMessage> reply) {
+		this.store.handle(request, reply);
+	}
+
 	public PeerMessage.CopiesKept handle(PeerMessage.KeepCopies keep) {
 		return this.copies.handle(keep);
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -31,7 +31,9 @@
 	/** Interval in milliseconds at which waiting records are offered to other daemons. */
 	private static final long COPY_MS = 50;
 
-	/** Records in one call; 256 turns of some KB stay below the store's size of a call. */
+	/**
+	 * Records in one call; 256 turns of some KB stay below the store's size of a call.
+	 */
 	private static final int MAX_RECORDS = 256;
 
 	/** Bytes in one call; half of the smallest limit that the platform names. */
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
@@ -17,7 +17,10 @@
  */
 final class Stash {
 
-	/** Time in seconds for which copies are kept; longer than the store has ever been away. */
+	/**
+	 * Time in seconds for which copies are kept; longer than the store has ever been
+	 * away.
+	 */
 	private static final long KEPT_S = 120;
 
 	private final LongSupplier nanoClock;
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
@@ -8,7 +8,9 @@
  */
 final class StoreHealth {
 
-	/** Time in milliseconds without an answer after which the store is away: two joins. */
+	/**
+	 * Time in milliseconds without an answer after which the store is away: two joins.
+	 */
 	private static final long AWAY_MS = 700;
 
 	private static final long NANOS_PER_MS = 1_000_000;
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -21,7 +21,9 @@
 import org.hemlockgw.core.pool.PromptPart;
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.store.ShardAssignment;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
 
@@ -131,6 +133,20 @@
 		else if (message instanceof PeerMessage.CopiesFound found) {
 			writeRecords(out.packInt(20), found.records());
 		}
+		else if (message instanceof PeerMessage.RelayAppend relay) {
+			out.packInt(21).packInt(relay.shard()).packLong(relay.epoch()).packLong(relay.sequence());
+			writeRecords(out, relay.records());
+		}
+		else if (message instanceof PeerMessage.AppendRelayed relayed) {
+			AppendOutcome outcome = relayed.outcome();
+			out.packInt(22).packInt((outcome != null) ? outcome.ordinal() : -1);
+		}
+		else if (message instanceof PeerMessage.RelayJoin relay) {
+			out.packInt(23).packString(relay.member()).packLong(relay.generation());
+		}
+		else if (message instanceof PeerMessage.JoinRelayed relayed) {
+			writeAssignment(out.packInt(24), relayed.assignment());
+		}
 	}
 
 	/**
@@ -174,6 +190,13 @@
 			case 18 -> new PeerMessage.CopiesKept(in.unpackBoolean());
 			case 19 -> new PeerMessage.CollectCopies(in.unpackInt(), in.unpackLong());
 			case 20 -> new PeerMessage.CopiesFound(readRecords(in));
+			case 21 -> new PeerMessage.RelayAppend(in.unpackInt(), in.unpackLong(), in.unpackLong(), readRecords(in));
+			case 22 -> {
+				int outcome = in.unpackInt();
+				yield new PeerMessage.AppendRelayed((outcome < 0) ? null : AppendOutcome.values()[outcome]);
+			}
+			case 23 -> new PeerMessage.RelayJoin(in.unpackString(), in.unpackLong());
+			case 24 -> new PeerMessage.JoinRelayed(readAssignment(in));
 			default -> throw new IOException("unknown message type " + type);
 		};
 	}
@@ -276,6 +299,28 @@
 		return records;
 	}
 
+	private static void writeAssignment(MessagePacker out, @Nullable ShardAssignment assignment) throws IOException {
+		out.packBoolean(assignment != null);
+		if (assignment != null) {
+			out.packLong(assignment.generation()).packArrayHeader(assignment.shards().size());
+			for (int shard : assignment.shards()) {
+				out.packInt(shard);
+			}
+		}
+	}
+
+	private static @Nullable ShardAssignment readAssignment(MessageUnpacker in) throws IOException {
+		if (!in.unpackBoolean()) {
+			return null;
+		}
+		long generation = in.unpackLong();
+		Set<Integer> shards = new HashSet<>();
+		for (int left = in.unpackArrayHeader(); left > 0; left--) {
+			shards.add(in.unpackInt());
+		}
+		return new ShardAssignment(generation, shards);
+	}
+
 	private static void writeHolders(MessagePacker out, ShardHolders holders) throws IOException {
 		out.packLong(holders.generation()).packMapHeader(holders.members().size());
 		for (Map.Entry<Integer, String> entry : holders.members().entrySet()) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -6,7 +6,9 @@
 
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.store.ShardAssignment;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
 
@@ -192,6 +194,44 @@
 	record CopiesFound(List<KeyedValue> records) implements PeerMessage {
 	}
 
+	/**
+	 * Asks a daemon to append for one that the store turns away. Answered by
+	 * {@link AppendRelayed}.
+	 *
+	 * @param shard number of the shard
+	 * @param epoch epoch of its writer
+	 * @param sequence number of the append within the epoch
+	 * @param records the records
+	 */
+	record RelayAppend(int shard, long epoch, long sequence, List<KeyedValue> records) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link RelayAppend}.
+	 *
+	 * @param outcome what the store answered; null if its answer is not known
+	 */
+	record AppendRelayed(@Nullable AppendOutcome outcome) implements PeerMessage {
+	}
+
+	/**
+	 * Asks a daemon to join the group for one that the store turns away. Answered by
+	 * {@link JoinRelayed}.
+	 *
+	 * @param member name of the daemon
+	 * @param generation the last generation that it received
+	 */
+	record RelayJoin(String member, long generation) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link RelayJoin}.
+	 *
+	 * @param assignment what the member holds; null if the store does not answer
+	 */
+	record JoinRelayed(@Nullable ShardAssignment assignment) implements PeerMessage {
+	}
+
 	/**
 	 * Asks for the holders of all shards, when the store does not answer. Answered by
 	 * {@link Holders}.
--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -55,6 +55,16 @@
 		return this.server.address();
 	}
 
+	/**
+	 * Opens another address, so that some clients can be turned away by stopping it.
+	 * @return the listening server
+	 */
+	public StandinHttpServer openAddress() {
+		StandinHttpServer gate = new StandinHttpServer("127.0.0.1:0", this::handle);
+		gate.start();
+		return gate;
+	}
+
 	/**
 	 * Starts or ends an outage.
 	 * @param value true to answer 503
