--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -37,8 +37,11 @@
 	/** Interval of reads of all holders in milliseconds while nothing is missing. */
 	private static final long OWNERS_MS = 2000;
 
-	/** Least time between two reads of all holders in milliseconds. */
-	private static final long OWNERS_MIN_MS = 60;
+	/**
+	 * Least time in milliseconds between two early questions to the store; calls are
+	 * priced.
+	 */
+	private static final long REFRESH_MIN_MS = 100;
 
 	/** Interval in milliseconds at which expired turns are dropped. */
 	private static final long EXPIRY_MS = 5000;
@@ -85,7 +88,7 @@
 
 	private boolean readingOwners;
 
-	private long ownersReadNanos;
+	private long refreshedNanos;
 
 	public Membership(EventLoop loop, StateStore store, InstantSource clock, MemberName self, PeerLinks peers,
 			Runnable changed) {
@@ -110,11 +113,13 @@
 	 * Asks the store for the assignment now.
 	 */
 	public void refresh() {
-		join();
-		long sinceMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - this.ownersReadNanos);
-		if (sinceMs >= OWNERS_MIN_MS) {
-			readOwners();
+		long now = System.nanoTime();
+		if (now - this.refreshedNanos < TimeUnit.MILLISECONDS.toNanos(REFRESH_MIN_MS)) {
+			return;
 		}
+		this.refreshedNanos = now;
+		join();
+		readOwners();
 	}
 
 	private void join() {
@@ -217,7 +222,6 @@
 			return;
 		}
 		this.readingOwners = true;
-		this.ownersReadNanos = System.nanoTime();
 		this.store.owners().whenComplete((found, error) -> {
 			this.readingOwners = false;
 			if (error == null) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
@@ -29,7 +29,10 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RelayedStore.class);
 
-	/** Time in milliseconds for another daemon's answer: two of its own calls to the store. */
+	/**
+	 * Time in milliseconds for another daemon's answer: two of its own calls to the
+	 * store.
+	 */
 	private static final long REPLY_TIMEOUT_MS = 1000;
 
 	private final StateStore direct;
