--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -255,7 +255,7 @@
 			return;
 		}
 		this.services.membership().refresh();
-		if (!this.turnOpen && remainingMs() < route().timeout().toMillis() / 2) {
+		if (!this.turnOpen && remainingMs() < this.limitMs / 2) {
 			refuse(503, HANDOVER_RETRY_AFTER_MS, cause);
 			return;
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
@@ -65,7 +65,7 @@
 		long id = ++this.correlation;
 		Pending pending = new Pending(link, id, listener);
 		link.open.put(id, pending);
-		pending.timer = this.loop.schedule(() -> pending.timedOut(timeoutMs), timeoutMs, TimeUnit.MILLISECONDS);
+		pending.startTimer(timeoutMs);
 		link.send(id, message);
 	}
 
@@ -152,6 +152,9 @@
 			if (decoded.message().isLast()) {
 				this.open.remove(decoded.correlation());
 			}
+			else if (decoded.message().nextReplyMs() > 0) {
+				pending.startTimer(decoded.message().nextReplyMs());
+			}
 			pending.listener.reply(decoded.message());
 		}
 
@@ -198,6 +201,10 @@
 			this.listener = listener;
 		}
 
+		void startTimer(long timeoutMs) {
+			this.timer = PeerLinks.this.loop.schedule(() -> timedOut(timeoutMs), timeoutMs, TimeUnit.MILLISECONDS);
+		}
+
 		void cancelTimer() {
 			if (this.timer != null) {
 				this.timer.cancel(false);
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -25,6 +25,15 @@
 		return true;
 	}
 
+	/**
+	 * Returns how long the requester waits for the next reply, which may have to pass a
+	 * silent connection.
+	 * @return time in milliseconds; 0 to wait without a limit
+	 */
+	default long nextReplyMs() {
+		return 0;
+	}
+
 	/**
 	 * Names the sender of a connection.
 	 *
@@ -56,11 +65,19 @@
 	 */
 	record TurnOpened(TurnStatus status, byte[] prompt) implements PeerMessage {
 
+		/** A store that is away costs a second at most until copies are kept. */
+		private static final long RESERVATION_MS = 1500;
+
 		@Override
 		public boolean isLast() {
 			return this.status != TurnStatus.OK;
 		}
 
+		@Override
+		public long nextReplyMs() {
+			return RESERVATION_MS;
+		}
+
 	}
 
 	/**
--- /dev/null
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
@@ -0,0 +1,84 @@
+package org.hemlockgw.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link PeerLinks} and {@link PeerListener}.
+ */
+@Timeout(20)
+class PeerLinksTests {
+
+	/** Upper limit of each wait in seconds. */
+	private static final long LIMIT_S = 5;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = (EventLoop) this.group.next();
+
+	private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+
+	@AfterEach
+	void stop() {
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	// Guards against requests that wait for ever when a daemon answers nothing, answers
+	// only in part, or is gone.
+	@ParameterizedTest
+	@CsvSource({ "whole, ok stored", "nothing, failed", "part, ok failed", "refused, failed" })
+	void requestEndsWhateverThePeerDoes(String behaviour, String expected) throws Exception {
+		Channel listener = PeerListener.start(new InetSocketAddress("127.0.0.1", 0), this.loop, new PeerService() {
+			@Override
+			public void handle(String sender, PeerMessage message, Consumer<PeerMessage> reply) {
+				if (!behaviour.equals("nothing")) {
+					reply.accept(new PeerMessage.TurnOpened(TurnStatus.OK, new byte[0]));
+				}
+				if (behaviour.equals("whole")) {
+					reply.accept(new PeerMessage.ReservationStored(true));
+				}
+			}
+
+			@Override
+			public void lost(String sender) {
+			}
+		});
+		int port = ((InetSocketAddress) listener.localAddress()).getPort();
+		if (behaviour.equals("refused")) {
+			listener.close().syncUninterruptibly();
+		}
+		PeerLinks links = new PeerLinks(this.loop, "self");
+		this.loop.execute(() -> links.request("127.0.0.1:" + port,
+				new PeerMessage.OpenTurn("t", "p", null, 100, 10, 1000), 200, new ReplyListener() {
+					@Override
+					public void reply(PeerMessage message) {
+						PeerLinksTests.this.heard
+							.add((message instanceof PeerMessage.TurnOpened) ? "ok" : "stored");
+					}
+
+					@Override
+					public void failed(String cause) {
+						PeerLinksTests.this.heard.add("failed");
+					}
+				}));
+		for (String next : expected.split(" ")) {
+			assertThat(this.heard.poll(LIMIT_S, TimeUnit.SECONDS)).isEqualTo(next);
+		}
+	}
+
+}
