--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
@@ -67,8 +67,7 @@
 				new PeerMessage.OpenTurn("t", "p", null, 100, 10, 1000), 200, new ReplyListener() {
 					@Override
 					public void reply(PeerMessage message) {
-						PeerLinksTests.this.heard
-							.add((message instanceof PeerMessage.TurnOpened) ? "ok" : "stored");
+						PeerLinksTests.this.heard.add((message instanceof PeerMessage.TurnOpened) ? "ok" : "stored");
 					}
 
 					@Override
