--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -457,19 +457,24 @@
 			return;
 		}
 		this.held = null;
-		if (!this.headSent) {
-			this.headSent = true;
-			HttpResponse response = this.services.wire().toCaller(head);
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-			this.caller.announceClose(response);
-			this.caller.channel().write(response);
-		}
+		sendHead(head);
 		this.caller.channel().writeAndFlush(new DefaultHttpContent(buffer));
 		if (!this.caller.channel().isWritable() && this.sending != null) {
 			this.sending.pause(true);
 		}
 	}
 
+	private void sendHead(HttpResponse head) {
+		if (this.headSent) {
+			return;
+		}
+		this.headSent = true;
+		HttpResponse response = this.services.wire().toCaller(head);
+		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		this.caller.announceClose(response);
+		this.caller.channel().write(response);
+	}
+
 	void writable(boolean writable) {
 		if (this.sending != null) {
 			this.sending.pause(!writable);
@@ -533,13 +538,7 @@
 
 	private void finishStream(HttpResponse head) {
 		flushHeld();
-		if (!this.headSent) {
-			this.headSent = true;
-			HttpResponse response = this.services.wire().toCaller(head);
-			response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-			this.caller.announceClose(response);
-			this.caller.channel().write(response);
-		}
+		sendHead(head);
 		if (!this.turnOpen) {
 			endStream();
 			return;
