Count a shard as complete only if nobody else can have held it since the last join

Cause: read in review, not seen in a run. A daemon that misses a generation may have lost a shard to another daemon and got it back; until its next append it would answer "no such turn" from old state, and the store would confirm it as the holder. Change: after a missed generation each kept shard is confirmed by an append; until then it does not count in a search. Measured: MembershipTests, case of a missed generation, fails without the confirmation and passes with it.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -152,10 +152,15 @@
 			return;
 		}
 		boolean news = assignment.generation() != this.generation;
+		boolean missedOne = assignment.generation() > this.generation + 1;
 		this.generation = assignment.generation();
 		Set<Integer> lost = new TreeSet<>(this.owned.keySet());
 		lost.removeAll(assignment.shards());
 		lost.forEach(this::drop);
+		if (missedOne) {
+			// A shard may have been given to another daemon and back.
+			this.owned.values().forEach(OwnedShard::confirm);
+		}
 		Set<Integer> gained = new TreeSet<>(assignment.shards());
 		gained.removeAll(this.owned.keySet());
 		gained.forEach(this::take);
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -51,6 +51,8 @@
 
 	private boolean ready;
 
+	private boolean confirmed = true;
+
 	private boolean ended;
 
 	OwnedShard(EventLoop loop, StateStore store, InstantSource clock, int number, ShardWriter writer) {
@@ -142,6 +144,26 @@
 		return this.ready && !this.ended;
 	}
 
+	/**
+	 * Tells whether all turns of the shard are here.
+	 * @return false while another daemon may have held the shard meanwhile
+	 */
+	boolean isComplete() {
+		return isReady() && this.confirmed;
+	}
+
+	/**
+	 * Finds out whether another daemon has held the shard since the last append: then the
+	 * store refuses this one.
+	 */
+	void confirm() {
+		if (!isReady()) {
+			return;
+		}
+		this.confirmed = false;
+		this.writer.append(List.of(ShardCodec.CONFIRMATION), (stored) -> this.confirmed = stored);
+	}
+
 	boolean isIdle() {
 		return this.writer.isIdle();
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -123,7 +123,7 @@
 	public PeerMessage.TurnFound find(PeerMessage.FindTurn find) {
 		List<Integer> searched = new ArrayList<>();
 		this.membership.owned().forEach((number, shard) -> {
-			if (shard.isReady()) {
+			if (shard.isComplete()) {
 				searched.add(number);
 			}
 		});
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardCodec.java
@@ -24,6 +24,9 @@
 
 	private static final byte[] DROPPED = {};
 
+	/** Drops a key that is never written. */
+	static final KeyedValue CONFIRMATION = new KeyedValue("c", DROPPED);
+
 	private ShardCodec() {
 	}
 
--- /dev/null
+++ b/gateway/src/test/java/org/hemlockgw/gateway/owner/MembershipTests.java
@@ -0,0 +1,151 @@
+package org.hemlockgw.gateway.owner;
+
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import org.hemlockgw.core.store.AppendOutcome;
+import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.store.NewestPage;
+import org.hemlockgw.core.store.ShardAssignment;
+import org.hemlockgw.core.store.ShardHolders;
+import org.hemlockgw.core.store.StateStore;
+import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.peer.PeerMessage;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link Membership} and {@link ProgramOwner}.
+ */
+@Timeout(20)
+class MembershipTests {
+
+	/** Upper limit of each wait in milliseconds. */
+	private static final long LIMIT_MS = 5000;
+
+	private static final PeerMessage.FindTurn FIND = new PeerMessage.FindTurn("t");
+
+	private final EventLoop loop = new DefaultEventLoop();
+
+	private final FakeStore store = new FakeStore();
+
+	private final MemberName self = new MemberName("127.0.0.1:1", "a", "x");
+
+	private final Membership membership = new Membership(this.loop, this.store, InstantSource.system(), this.self,
+			new PeerLinks(this.loop, this.self.text()), () -> {
+			});
+
+	private final ProgramOwner owner = new ProgramOwner(this.membership, new PeerLinks(this.loop, this.self.text()));
+
+	@AfterEach
+	void stop() {
+		this.loop.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	// Guards against a search that counts a shard which another daemon has held and
+	// filled
+	// between two joins.
+	@ParameterizedTest
+	@CsvSource({ "2, true", "3, false" })
+	void shardCountsOnlyIfNobodyElseCanHaveHeldIt(long generation, boolean complete) throws Exception {
+		this.store.generation = 1;
+		this.loop.execute(this.membership::start);
+		await(() -> this.owner.find(FIND).shards().equals(List.of(0)));
+		this.store.hanging = new CompletableFuture<>();
+		this.store.generation = generation;
+		await(() -> this.owner.find(FIND).generation() == generation);
+		assertThat(call(() -> this.owner.find(FIND).shards())).isEqualTo(complete ? List.of(0) : List.of());
+		this.store.hanging.complete(AppendOutcome.STORED);
+		await(() -> this.owner.find(FIND).shards().equals(List.of(0)));
+	}
+
+	// Guards against a daemon that goes on with what it knew of a shard that it has lost.
+	@ParameterizedTest
+	@CsvSource({ "3" })
+	void shardThatWasTakenMeanwhileIsReadAgain(long generation) throws Exception {
+		this.store.generation = 1;
+		this.loop.execute(this.membership::start);
+		await(() -> this.membership.holds(0));
+		int reads = this.store.reads;
+		this.store.next = AppendOutcome.FENCED;
+		this.store.generation = generation;
+		await(() -> this.store.reads > reads && this.membership.holds(0));
+	}
+
+	private <T> T call(Callable<T> question) throws Exception {
+		return this.loop.submit(question).get(LIMIT_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void await(Callable<Boolean> condition) throws Exception {
+		long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MS);
+		while (!call(condition)) {
+			assertThat(System.nanoTime() - until).isLessThan(0L);
+			TimeUnit.MILLISECONDS.sleep(5);
+		}
+	}
+
+	/**
+	 * Store of one shard that this daemon holds in every generation.
+	 */
+	private static final class FakeStore implements StateStore {
+
+		private volatile long generation;
+
+		private volatile int reads;
+
+		private volatile AppendOutcome next = AppendOutcome.STORED;
+
+		private volatile CompletableFuture<AppendOutcome> hanging = CompletableFuture
+			.completedFuture(AppendOutcome.STORED);
+
+		@Override
+		public int shardCount() {
+			return 1;
+		}
+
+		@Override
+		public CompletableFuture<AppendOutcome> append(int shard, long epoch, long sequence, List<KeyedValue> records) {
+			if (records.isEmpty()) {
+				return CompletableFuture.completedFuture(AppendOutcome.STORED);
+			}
+			AppendOutcome outcome = this.next;
+			this.next = AppendOutcome.STORED;
+			return (outcome == AppendOutcome.FENCED) ? CompletableFuture.completedFuture(outcome) : this.hanging;
+		}
+
+		@Override
+		public CompletableFuture<NewestPage> newest(int shard, String after) {
+			this.reads = this.reads + 1;
+			return CompletableFuture.completedFuture(new NewestPage(List.of(), false));
+		}
+
+		@Override
+		public CompletableFuture<ShardAssignment> join(String member, long known) {
+			return CompletableFuture.completedFuture(new ShardAssignment(this.generation, Set.of(0)));
+		}
+
+		@Override
+		public CompletableFuture<Void> leave(String member) {
+			return CompletableFuture.completedFuture(null);
+		}
+
+		@Override
+		public CompletableFuture<ShardHolders> owners() {
+			return CompletableFuture.completedFuture(new ShardHolders(this.generation, Map.of()));
+		}
+
+	}
+
+}
