--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -1,5 +1,7 @@
 package org.hemlockgw.gateway.entry;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -125,7 +127,7 @@
 	 * @param reason text of the body
 	 */
 	void refuse(int status, long retryAfterMs, String reason) {
-		byte[] text = (reason + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8);
+		byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
 		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(text));
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
@@ -212,7 +214,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-		if (!(cause instanceof java.io.IOException)) {
+		if (!(cause instanceof IOException)) {
 			logger.warn("closing a caller's connection", cause);
 		}
 		ctx.close();
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
@@ -10,6 +10,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -86,8 +87,7 @@
 				}
 			})
 			.connect(target)
-			.addListener((io.netty.channel.ChannelFuture done) -> connected(done.channel(), done.cause(), head, body,
-					call, listener));
+			.addListener((ChannelFuture done) -> connected(done.channel(), done.cause(), head, body, call, listener));
 		return call;
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -92,8 +92,9 @@
 		send();
 	}
 
-	// The empty append that sets an epoch has an epoch of its own, because the page does
-	// not say whether it takes a sequence number.
+	// Setting an epoch may or may not use up a sequence number, so the records that
+	// follow
+	// have the next epoch, which may start at any number.
 	private long currentEpoch() {
 		return this.opened ? this.epoch + 1 : this.epoch;
 	}
--- a/standins/src/main/java/org/hemlockgw/standins/platform/StorePartition.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StorePartition.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.standins.platform;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -82,7 +83,7 @@
 	}
 
 	static String key(byte[] record) {
-		return new String(record, 1, record[0] & 0xff, java.nio.charset.StandardCharsets.UTF_8);
+		return new String(record, 1, record[0] & 0xff, StandardCharsets.UTF_8);
 	}
 
 	static int valueOffset(byte[] record) {
