Remove methods of the gateway that nothing calls

Cause: the reading of the whole change found SlotClient.mayUse, SlotClient.hasServers, the map that only they used, and CallerConnection.isBusy without a caller.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -86,10 +86,6 @@
 		}
 	}
 
-	public boolean isBusy() {
-		return this.current != null;
-	}
-
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object msg) {
 		if (!(msg instanceof FullHttpRequest request) || this.closing) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -51,8 +51,6 @@
 
 	private final Set<Slot> held = new HashSet<>();
 
-	private Map<String, PoolMember> members = Map.of();
-
 	public SlotClient(EventLoop loop, Membership membership, PeerLinks peers, LongSupplier nanoClock) {
 		this.membership = membership;
 		this.peers = peers;
@@ -67,12 +65,7 @@
 	public void update(List<PoolMember> list) {
 		Map<String, List<PoolMember>> byPool = new HashMap<>();
 		this.schedulers.keySet().forEach((pool) -> byPool.put(pool, new ArrayList<>()));
-		Map<String, PoolMember> byId = new HashMap<>();
-		list.forEach((member) -> {
-			byPool.computeIfAbsent(member.pool(), (pool) -> new ArrayList<>()).add(member);
-			byId.put(member.id(), member);
-		});
-		this.members = byId;
+		list.forEach((member) -> byPool.computeIfAbsent(member.pool(), (pool) -> new ArrayList<>()).add(member));
 		byPool.forEach((pool, servers) -> scheduler(pool).update(servers));
 	}
 
@@ -228,20 +221,6 @@
 		}
 	}
 
-	/**
-	 * Tells whether a server is still listed and not draining.
-	 * @param server its identifier
-	 * @return whether it may get new requests
-	 */
-	public boolean mayUse(String server) {
-		PoolMember member = this.members.get(server);
-		return member != null && !member.draining();
-	}
-
-	public boolean hasServers() {
-		return !this.members.isEmpty();
-	}
-
 	public int inFlight() {
 		return this.schedulers.values().stream().mapToInt(PoolScheduler::inFlight).sum();
 	}
