Hand copies of an outage to holders that did not know whom to ask

Change: a daemon with copies offers them to the present holder of the shard until the holder has taken them. A take-over that may not have asked everybody (a daemon asked did not answer, or this daemon knows the others for less than 2 s) does not count for 'no such turn' for 2 s; the caller is told to come again meanwhile.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -198,6 +198,9 @@
 		else if (message instanceof PeerMessage.KeepCopies keep) {
 			reply.accept(this.membership.handle(keep));
 		}
+		else if (message instanceof PeerMessage.OfferCopies offer) {
+			reply.accept(this.membership.handle(offer));
+		}
 		else if (message instanceof PeerMessage.CollectCopies collect) {
 			reply.accept(this.membership.handle(collect));
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -33,6 +35,12 @@
 	/** Time in seconds after which a daemon that holds no shard is asked no longer. */
 	private static final long FORGET_S = 120;
 
+	/**
+	 * Time in milliseconds in which daemons return after the store was away; members that
+	 * don't are removed after two seconds.
+	 */
+	static final long RETURN_MS = 2000;
+
 	private final PeerLinks peers;
 
 	private final StoreHealth health;
@@ -45,6 +53,10 @@
 
 	private final Map<MemberName, Long> known = new HashMap<>();
 
+	private final Set<Integer> offering = new HashSet<>();
+
+	private @Nullable Long firstSeenNanos;
+
 	private int turn;
 
 	Copies(PeerLinks peers, StoreHealth health, MemberName self, LongSupplier nanoClock) {
@@ -57,6 +69,9 @@
 
 	void seen(Collection<MemberName> members) {
 		long now = this.nanoClock.getAsLong();
+		if (this.firstSeenNanos == null) {
+			this.firstSeenNanos = now;
+		}
 		members.forEach((member) -> this.known.put(member, now));
 		this.known.remove(this.self);
 		this.known.values().removeIf((since) -> now - since > TimeUnit.SECONDS.toNanos(FORGET_S));
@@ -113,15 +128,47 @@
 	 * @param epoch epoch of its new writer
 	 * @param done receives what was found
 	 */
-	void collect(int shard, long epoch, Consumer<List<KeyedValue>> done) {
+	void collect(int shard, long epoch, Consumer<Collected> done) {
 		List<KeyedValue> found = new ArrayList<>(this.stash.collect(shard, epoch));
 		List<MemberName> targets = new ArrayList<>(this.known.keySet());
 		new Gathering(targets.size(), (answers) -> {
 			answers.forEach((answer) -> found.addAll(((PeerMessage.CopiesFound) answer).records()));
-			done.accept(found);
+			done.accept(new Collected(found, knowsAll() && answers.size() == targets.size()));
 		}).ask(targets, new PeerMessage.CollectCopies(shard, epoch));
 	}
 
+	// A daemon that starts while the store is away learns of the others only when they
+	// are
+	// back.
+	private boolean knowsAll() {
+		return this.firstSeenNanos != null
+				&& this.nanoClock.getAsLong() - this.firstSeenNanos > TimeUnit.MILLISECONDS.toNanos(RETURN_MS);
+	}
+
+	/**
+	 * Hands copies to the holders of their shards, which may not know this daemon.
+	 * @param holders the holders
+	 */
+	void offer(Map<Integer, MemberName> holders) {
+		for (int shard : this.stash.shards()) {
+			MemberName holder = holders.get(shard);
+			if (holder == null || holder.equals(this.self) || this.offering.contains(shard)) {
+				continue;
+			}
+			List<KeyedValue> records = this.stash.undelivered(shard, holder);
+			if (records.isEmpty()) {
+				continue;
+			}
+			this.offering.add(shard);
+			new Gathering(1, (answers) -> {
+				this.offering.remove(shard);
+				if (answers.equals(List.of(new PeerMessage.CopiesKept(true)))) {
+					this.stash.delivered(shard, holder, records.size());
+				}
+			}).ask(List.of(holder), new PeerMessage.OfferCopies(shard, records));
+		}
+	}
+
 	PeerMessage.CopiesFound handle(PeerMessage.CollectCopies collect) {
 		return new PeerMessage.CopiesFound(this.stash.collect(collect.shard(), collect.epoch()));
 	}
@@ -137,6 +184,16 @@
 		}
 	}
 
+	/**
+	 * Copies of a shard.
+	 *
+	 * @param records the records
+	 * @param whole false if a daemon that may have copies was not asked or did not answer
+	 */
+	record Collected(List<KeyedValue> records, boolean whole) {
+
+	}
+
 	/**
 	 * Replies of several daemons to one question.
 	 */
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -43,6 +43,9 @@
 	 */
 	private static final long REFRESH_MIN_MS = 100;
 
+	/** Interval in milliseconds at which copies are offered to the holders of shards. */
+	private static final long OFFER_MS = 100;
+
 	/** Interval in milliseconds at which expired turns are dropped. */
 	private static final long EXPIRY_MS = 5000;
 
@@ -105,6 +108,7 @@
 	public void start() {
 		this.loop.scheduleAtFixedRate(this::join, 0, JOIN_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::readOwners, 0, OWNERS_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(() -> this.copies.offer(this.holders), OFFER_MS, OFFER_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(() -> this.owned.values().forEach(OwnedShard::expire), EXPIRY_MS, EXPIRY_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -222,6 +226,16 @@
 		return this.copies.handle(keep);
 	}
 
+	/**
+	 * Adds copies to a shard that this daemon holds.
+	 * @param offer the copies
+	 * @return whether they were added
+	 */
+	public PeerMessage.CopiesKept handle(PeerMessage.OfferCopies offer) {
+		OwnedShard shard = this.owned.get(offer.shard());
+		return new PeerMessage.CopiesKept(shard != null && shard.accept(offer.records()));
+	}
+
 	private void readOwners() {
 		if (this.readingOwners) {
 			return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -53,6 +53,8 @@
 
 	private boolean confirmed = true;
 
+	private boolean awaitingCopies;
+
 	private boolean ended;
 
 	OwnedShard(EventLoop loop, StateStore store, InstantSource clock, int number, ShardWriter writer) {
@@ -67,22 +69,49 @@
 	 * Takes the shard over.
 	 * @param collect asks other daemons for copies that the store lacks
 	 */
-	void take(Consumer<Consumer<List<KeyedValue>>> collect) {
+	void take(Consumer<Consumer<Copies.Collected>> collect) {
 		this.writer.open((stored) -> {
 			if (stored) {
-				read("", () -> collect.accept(this::merge));
+				read("", () -> collect.accept(this::begin));
 			}
 		});
 	}
 
+	private void begin(Copies.Collected copies) {
+		if (this.ended) {
+			return;
+		}
+		this.ready = true;
+		if (!copies.whole()) {
+			this.awaitingCopies = true;
+			this.loop.schedule(() -> this.awaitingCopies = false, Copies.RETURN_MS, TimeUnit.MILLISECONDS);
+		}
+		int missing = merge(copies.records());
+		logger.info("shard {} is taken over with {} turns, {} records from other daemons, all asked: {}", this.number,
+				this.state.turnCount(), missing, copies.whole());
+	}
+
+	/**
+	 * Adds copies that another daemon has kept.
+	 * @param copies records that may be missing
+	 * @return false if the shard is not ready
+	 */
+	boolean accept(List<KeyedValue> copies) {
+		if (!isReady()) {
+			return false;
+		}
+		int missing = merge(copies);
+		if (missing > 0) {
+			logger.info("shard {}: {} records from another daemon", this.number, missing);
+		}
+		return true;
+	}
+
 	long epoch() {
 		return this.writer.epoch();
 	}
 
-	private void merge(List<KeyedValue> copies) {
-		if (this.ended) {
-			return;
-		}
+	private int merge(List<KeyedValue> copies) {
 		List<KeyedValue> missing = new ArrayList<>();
 		TurnShard found = new TurnShard();
 		copies.forEach((copy) -> add(copy, found));
@@ -100,12 +129,10 @@
 				missing.add(ShardCodec.budget(program, budget));
 			}
 		});
-		this.ready = true;
-		logger.info("shard {} is taken over with {} turns, {} records from other daemons", this.number,
-				this.state.turnCount(), missing.size());
 		if (!missing.isEmpty()) {
 			this.writer.append(missing, (stored) -> logger.debug("copies of shard {} stored: {}", this.number, stored));
 		}
+		return missing.size();
 	}
 
 	private void read(String after, Runnable done) {
@@ -146,10 +173,11 @@
 
 	/**
 	 * Tells whether all turns of the shard are here.
-	 * @return false while another daemon may have held the shard meanwhile
+	 * @return false while another daemon may have held the shard meanwhile, or may have
+	 * copies of its turns
 	 */
 	boolean isComplete() {
-		return isReady() && this.confirmed;
+		return isReady() && this.confirmed && !this.awaitingCopies;
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import org.jspecify.annotations.Nullable;
+
 import org.hemlockgw.core.store.KeyedValue;
 
 /**
@@ -48,10 +50,44 @@
 		this.byShard.values().removeIf((copies) -> now - copies.sinceNanos > TimeUnit.SECONDS.toNanos(KEPT_S));
 		Copies copies = this.byShard.computeIfAbsent(shard, (key) -> new Copies());
 		copies.sinceNanos = now;
+		copies.deliveredTo = null;
 		records.forEach((record) -> copies.records.put(record.key(), record));
 		return true;
 	}
 
+	/**
+	 * Returns the shards of which copies are kept.
+	 * @return numbers of the shards
+	 */
+	List<Integer> shards() {
+		return List.copyOf(this.byShard.keySet());
+	}
+
+	/**
+	 * Returns the copies of a shard that its holder was not yet given.
+	 * @param shard number of the shard
+	 * @param holder the holder
+	 * @return records, one for each key
+	 */
+	List<KeyedValue> undelivered(int shard, MemberName holder) {
+		Copies copies = this.byShard.get(shard);
+		return (copies != null && !holder.equals(copies.deliveredTo)) ? new ArrayList<>(copies.records.values())
+				: List.of();
+	}
+
+	/**
+	 * Notes that the holder of a shard has the copies, unless there are more since.
+	 * @param shard number of the shard
+	 * @param holder the holder
+	 * @param count number of records that it was given
+	 */
+	void delivered(int shard, MemberName holder, int count) {
+		Copies copies = this.byShard.get(shard);
+		if (copies != null && copies.records.size() == count) {
+			copies.deliveredTo = holder;
+		}
+	}
+
 	/**
 	 * Returns all copies of a shard and refuses those of earlier epochs from now on.
 	 * @param shard number of the shard
@@ -70,6 +106,8 @@
 
 		private long sinceNanos;
 
+		private @Nullable MemberName deliveredTo;
+
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -147,6 +147,9 @@
 		else if (message instanceof PeerMessage.JoinRelayed relayed) {
 			writeAssignment(out.packInt(24), relayed.assignment());
 		}
+		else if (message instanceof PeerMessage.OfferCopies offer) {
+			writeRecords(out.packInt(25).packInt(offer.shard()), offer.records());
+		}
 	}
 
 	/**
@@ -197,6 +200,7 @@
 			}
 			case 23 -> new PeerMessage.RelayJoin(in.unpackString(), in.unpackLong());
 			case 24 -> new PeerMessage.JoinRelayed(readAssignment(in));
+			case 25 -> new PeerMessage.OfferCopies(in.unpackInt(), readRecords(in));
 			default -> throw new IOException("unknown message type " + type);
 		};
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -186,9 +186,19 @@
 	}
 
 	/**
-	 * Answer to {@link KeepCopies}.
+	 * Hands copies to the holder of their shard. Answered by {@link CopiesKept}.
 	 *
-	 * @param kept false if the store answers this daemon, or if the shard was taken over
+	 * @param shard number of the shard
+	 * @param records records that the store may not have
+	 */
+	record OfferCopies(int shard, List<KeyedValue> records) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link KeepCopies} and {@link OfferCopies}.
+	 *
+	 * @param kept false if the store answers this daemon, if the shard was taken over, or
+	 * if this daemon does not hold the shard that the copies were offered for
 	 */
 	record CopiesKept(boolean kept) implements PeerMessage {
 	}
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -44,11 +44,11 @@
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
 				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
 				new PeerMessage.ServerLost("abc"), new PeerMessage.AskHolders(),
-				new PeerMessage.KeepCopies(3, 8, List.of()), new PeerMessage.CopiesKept(true),
-				new PeerMessage.CollectCopies(3, 10), new PeerMessage.RelayAppend(3, 8, 2, List.of()),
-				new PeerMessage.AppendRelayed(null), new PeerMessage.AppendRelayed(AppendOutcome.FENCED),
-				new PeerMessage.RelayJoin("d1", 4), new PeerMessage.JoinRelayed(null),
-				new PeerMessage.JoinRelayed(new ShardAssignment(4, Set.of(1, 2))),
+				new PeerMessage.KeepCopies(3, 8, List.of()), new PeerMessage.OfferCopies(3, List.of()),
+				new PeerMessage.CopiesKept(true), new PeerMessage.CollectCopies(3, 10),
+				new PeerMessage.RelayAppend(3, 8, 2, List.of()), new PeerMessage.AppendRelayed(null),
+				new PeerMessage.AppendRelayed(AppendOutcome.FENCED), new PeerMessage.RelayJoin("d1", 4),
+				new PeerMessage.JoinRelayed(null), new PeerMessage.JoinRelayed(new ShardAssignment(4, Set.of(1, 2))),
 				new PeerMessage.CopiesFound(List.of()),
 				new PeerMessage.Holders(new ShardHolders(4, Map.of(0, "d1", 1, "d2"))));
 	}
