Relay reads and holders, at once, for a daemon that the store turns away

Each relay also waited for its own call to fail first, so a join took more than the member's 1 s and the shards moved every two seconds.

Change: all calls but leave are relayed. Once a call has failed, the relay is asked beside the store, through the daemon whose relay worked last. Asking a daemon for the holders it knows is dropped: it asks the store now.

Ruled out: a cut between daemons, since their joins did go through.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -204,12 +204,10 @@
 		else if (message instanceof PeerMessage.CollectCopies collect) {
 			reply.accept(this.membership.handle(collect));
 		}
-		else if (message instanceof PeerMessage.RelayAppend || message instanceof PeerMessage.RelayJoin) {
+		else if (message instanceof PeerMessage.RelayAppend || message instanceof PeerMessage.RelayJoin
+				|| message instanceof PeerMessage.RelayRead || message instanceof PeerMessage.RelayHolders) {
 			this.membership.relay(message, reply);
 		}
-		else if (message instanceof PeerMessage.AskHolders) {
-			reply.accept(new PeerMessage.Holders(this.membership.known()));
-		}
 		else if (message instanceof PeerMessage.AssignmentChanged) {
 			this.membership.refresh();
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -20,7 +20,6 @@
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
-import org.hemlockgw.gateway.peer.ReplyListener;
 
 /**
  * Shards that this daemon holds and, as far as it knows, who holds the others.
@@ -52,9 +51,6 @@
 	/** Take-overs within one generation; each uses two epochs. */
 	private static final long TAKE_OVERS_PER_GENERATION = 1000;
 
-	/** Time in milliseconds for another daemon's reply; a round trip takes about two. */
-	private static final long PEER_TIMEOUT_MS = 300;
-
 	private final EventLoop loop;
 
 	private final RelayedStore store;
@@ -67,8 +63,6 @@
 
 	private final Map<Integer, OwnedShard> owned = new HashMap<>();
 
-	private final PeerLinks peers;
-
 	private final StoreHealth health;
 
 	private final Copies copies;
@@ -77,8 +71,6 @@
 
 	private Map<Integer, MemberName> holders = Map.of();
 
-	private int peersAsked;
-
 	private long generation;
 
 	private long takeOvers;
@@ -98,7 +90,6 @@
 		this.loop = loop;
 		this.clock = clock;
 		this.self = self;
-		this.peers = peers;
 		this.health = new StoreHealth(System::nanoTime);
 		this.copies = new Copies(peers, this.health, self, System::nanoTime);
 		this.store = new RelayedStore(store, peers, this.copies::helper);
@@ -248,30 +239,6 @@
 				return;
 			}
 			logger.warn("reading the holders of shards failed: {}", error.getMessage());
-			askPeer();
-		});
-	}
-
-	// The store may turn this daemon away while it serves others and gives its shards to
-	// them.
-	private void askPeer() {
-		List<String> known = List.copyOf(peers());
-		if (known.isEmpty()) {
-			return;
-		}
-		String peer = known.get(Math.floorMod(this.peersAsked++, known.size()));
-		this.peers.request(peer, new PeerMessage.AskHolders(), PEER_TIMEOUT_MS, new ReplyListener() {
-			@Override
-			public void reply(PeerMessage message) {
-				if (message instanceof PeerMessage.Holders answer) {
-					learn(answer.holders());
-				}
-			}
-
-			@Override
-			public void failed(String cause) {
-				logger.info("holders of shards are not known: {}", cause);
-			}
 		});
 	}
 
@@ -308,14 +275,6 @@
 		}
 	}
 
-	/**
-	 * Returns the newest assignment that this daemon knows.
-	 * @return the holders
-	 */
-	public ShardHolders known() {
-		return this.known;
-	}
-
 	/**
 	 * Reads the holders from the store now.
 	 * @param done receives the holders, or null if the store does not answer
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
@@ -22,8 +22,8 @@
 import org.hemlockgw.gateway.peer.ReplyListener;
 
 /**
- * The store, through another daemon where it turns this one away. Appends and joins may
- * be repeated, so a call whose outcome is unknown is simply made again by the other one.
+ * The store, through another daemon where it turns this one away. All calls may be
+ * repeated, so one whose outcome is unknown is simply made again by the other one.
  */
 final class RelayedStore implements StateStore {
 
@@ -39,12 +39,23 @@
 
 	private final PeerLinks peers;
 
-	private final Supplier<@Nullable MemberName> helper;
+	private final Supplier<@Nullable MemberName> others;
 
-	RelayedStore(StateStore direct, PeerLinks peers, Supplier<@Nullable MemberName> helper) {
+	// The daemon whose relay worked last.
+	private @Nullable MemberName helper;
+
+	private boolean turnedAway;
+
+	/**
+	 * Creates a store.
+	 * @param direct the store itself
+	 * @param peers links to other daemons
+	 * @param others names another daemon with each call, or null if none is known
+	 */
+	RelayedStore(StateStore direct, PeerLinks peers, Supplier<@Nullable MemberName> others) {
 		this.direct = direct;
 		this.peers = peers;
-		this.helper = helper;
+		this.others = others;
 	}
 
 	@Override
@@ -54,20 +65,21 @@
 
 	@Override
 	public CompletableFuture<AppendOutcome> append(int shard, long epoch, long sequence, List<KeyedValue> records) {
-		return orRelayed(this.direct.append(shard, epoch, sequence, records),
+		return call(this.direct.append(shard, epoch, sequence, records),
 				new PeerMessage.RelayAppend(shard, epoch, sequence, records),
 				(answer) -> (answer instanceof PeerMessage.AppendRelayed relayed) ? relayed.outcome() : null);
 	}
 
 	@Override
 	public CompletableFuture<ShardAssignment> join(String member, long generation) {
-		return orRelayed(this.direct.join(member, generation), new PeerMessage.RelayJoin(member, generation),
+		return call(this.direct.join(member, generation), new PeerMessage.RelayJoin(member, generation),
 				(answer) -> (answer instanceof PeerMessage.JoinRelayed relayed) ? relayed.assignment() : null);
 	}
 
 	@Override
 	public CompletableFuture<NewestPage> newest(int shard, String after) {
-		return this.direct.newest(shard, after);
+		return call(this.direct.newest(shard, after), new PeerMessage.RelayRead(shard, after),
+				(answer) -> (answer instanceof PeerMessage.ReadRelayed relayed) ? relayed.page() : null);
 	}
 
 	@Override
@@ -77,47 +89,64 @@
 
 	@Override
 	public CompletableFuture<ShardHolders> owners() {
-		return this.direct.owners();
+		return call(this.direct.owners(), new PeerMessage.RelayHolders(),
+				(answer) -> (answer instanceof PeerMessage.HoldersRelayed relayed) ? relayed.holders() : null);
 	}
 
-	private <T> CompletableFuture<T> orRelayed(CompletableFuture<T> call, PeerMessage request,
+	private <T> CompletableFuture<T> call(CompletableFuture<T> call, PeerMessage request,
 			Function<PeerMessage, @Nullable T> decoder) {
+		// A member that waits for a call to fail before each relay loses its shards.
+		CompletableFuture<T> relayed = this.turnedAway ? relay(request, decoder) : null;
 		CompletableFuture<T> result = new CompletableFuture<>();
 		call.whenComplete((answer, error) -> {
+			this.turnedAway = error != null;
 			if (error == null) {
 				result.complete(answer);
 				return;
 			}
-			MemberName target = this.helper.get();
-			if (target == null) {
-				result.completeExceptionally(error);
-				return;
-			}
-			relay(target, request, decoder, result, error);
+			CompletableFuture<T> other = (relayed != null) ? relayed : relay(request, decoder);
+			other.whenComplete((found, cause) -> {
+				if (cause != null) {
+					result.completeExceptionally(new IOException(error.getMessage() + "; " + cause.getMessage()));
+				}
+			});
+			other.thenAccept(result::complete);
 		});
+		if (relayed != null) {
+			relayed.thenAccept(result::complete);
+		}
 		return result;
 	}
 
-	private <T> void relay(MemberName target, PeerMessage request, Function<PeerMessage, @Nullable T> decoder,
-			CompletableFuture<T> result, Throwable direct) {
+	private <T> CompletableFuture<T> relay(PeerMessage request, Function<PeerMessage, @Nullable T> decoder) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		MemberName known = this.helper;
+		MemberName target = (known != null) ? known : this.others.get();
+		if (target == null) {
+			result.completeExceptionally(new IOException("no other daemon is known"));
+			return result;
+		}
 		this.peers.request(target.peerAddress(), request, REPLY_TIMEOUT_MS, new ReplyListener() {
 			@Override
 			public void reply(PeerMessage message) {
 				T answer = decoder.apply(message);
 				if (answer == null) {
 					failed("the store does not answer it either");
+					return;
 				}
-				else {
-					result.complete(answer);
-				}
+				RelayedStore.this.helper = target;
+				result.complete(answer);
 			}
 
 			@Override
 			public void failed(String cause) {
-				result.completeExceptionally(
-						new IOException(direct.getMessage() + "; through " + target.peerAddress() + ": " + cause));
+				if (target.equals(RelayedStore.this.helper)) {
+					RelayedStore.this.helper = null;
+				}
+				result.completeExceptionally(new IOException("through " + target.peerAddress() + ": " + cause));
 			}
 		});
+		return result;
 	}
 
 	/**
@@ -134,6 +163,14 @@
 			this.direct.join(relay.member(), relay.generation())
 				.whenComplete((assignment, error) -> reply.accept(new PeerMessage.JoinRelayed(assignment)));
 		}
+		else if (request instanceof PeerMessage.RelayRead relay) {
+			this.direct.newest(relay.shard(), relay.after())
+				.whenComplete((page, error) -> reply.accept(new PeerMessage.ReadRelayed(page)));
+		}
+		else if (request instanceof PeerMessage.RelayHolders) {
+			this.direct.owners()
+				.whenComplete((holders, error) -> reply.accept(new PeerMessage.HoldersRelayed(holders)));
+		}
 		else {
 			logger.warn("{} is not relayed", request.getClass().getSimpleName());
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -23,6 +23,7 @@
 import org.hemlockgw.core.pool.SlotRequest;
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.store.NewestPage;
 import org.hemlockgw.core.store.ShardAssignment;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
@@ -114,11 +115,11 @@
 		else if (message instanceof PeerMessage.SlotQueued) {
 			out.packInt(14);
 		}
-		else if (message instanceof PeerMessage.AskHolders) {
+		else if (message instanceof PeerMessage.RelayHolders) {
 			out.packInt(15);
 		}
-		else if (message instanceof PeerMessage.Holders holders) {
-			writeHolders(out.packInt(16), holders.holders());
+		else if (message instanceof PeerMessage.HoldersRelayed relayed) {
+			writeHolders(out.packInt(16), relayed.holders());
 		}
 		else if (message instanceof PeerMessage.KeepCopies keep) {
 			out.packInt(17).packInt(keep.shard()).packLong(keep.epoch());
@@ -150,6 +151,12 @@
 		else if (message instanceof PeerMessage.OfferCopies offer) {
 			writeRecords(out.packInt(25).packInt(offer.shard()), offer.records());
 		}
+		else if (message instanceof PeerMessage.RelayRead relay) {
+			out.packInt(26).packInt(relay.shard()).packString(relay.after());
+		}
+		else if (message instanceof PeerMessage.ReadRelayed relayed) {
+			writePage(out.packInt(27), relayed.page());
+		}
 	}
 
 	/**
@@ -187,8 +194,8 @@
 			case 12 -> new PeerMessage.AssignmentChanged();
 			case 13 -> new PeerMessage.ServerLost(in.unpackString());
 			case 14 -> new PeerMessage.SlotQueued();
-			case 15 -> new PeerMessage.AskHolders();
-			case 16 -> new PeerMessage.Holders(readHolders(in));
+			case 15 -> new PeerMessage.RelayHolders();
+			case 16 -> new PeerMessage.HoldersRelayed(readHolders(in));
 			case 17 -> new PeerMessage.KeepCopies(in.unpackInt(), in.unpackLong(), readRecords(in));
 			case 18 -> new PeerMessage.CopiesKept(in.unpackBoolean());
 			case 19 -> new PeerMessage.CollectCopies(in.unpackInt(), in.unpackLong());
@@ -201,6 +208,8 @@
 			case 23 -> new PeerMessage.RelayJoin(in.unpackString(), in.unpackLong());
 			case 24 -> new PeerMessage.JoinRelayed(readAssignment(in));
 			case 25 -> new PeerMessage.OfferCopies(in.unpackInt(), readRecords(in));
+			case 26 -> new PeerMessage.RelayRead(in.unpackInt(), in.unpackString());
+			case 27 -> new PeerMessage.ReadRelayed(readPage(in));
 			default -> throw new IOException("unknown message type " + type);
 		};
 	}
@@ -303,6 +312,18 @@
 		return records;
 	}
 
+	private static void writePage(MessagePacker out, @Nullable NewestPage page) throws IOException {
+		out.packBoolean(page != null);
+		if (page != null) {
+			writeRecords(out, page.items());
+			out.packBoolean(page.hasMore());
+		}
+	}
+
+	private static @Nullable NewestPage readPage(MessageUnpacker in) throws IOException {
+		return in.unpackBoolean() ? new NewestPage(readRecords(in), in.unpackBoolean()) : null;
+	}
+
 	private static void writeAssignment(MessagePacker out, @Nullable ShardAssignment assignment) throws IOException {
 		out.packBoolean(assignment != null);
 		if (assignment != null) {
@@ -325,14 +346,20 @@
 		return new ShardAssignment(generation, shards);
 	}
 
-	private static void writeHolders(MessagePacker out, ShardHolders holders) throws IOException {
-		out.packLong(holders.generation()).packMapHeader(holders.members().size());
-		for (Map.Entry<Integer, String> entry : holders.members().entrySet()) {
-			out.packInt(entry.getKey()).packString(entry.getValue());
+	private static void writeHolders(MessagePacker out, @Nullable ShardHolders holders) throws IOException {
+		out.packBoolean(holders != null);
+		if (holders != null) {
+			out.packLong(holders.generation()).packMapHeader(holders.members().size());
+			for (Map.Entry<Integer, String> entry : holders.members().entrySet()) {
+				out.packInt(entry.getKey()).packString(entry.getValue());
+			}
 		}
 	}
 
-	private static ShardHolders readHolders(MessageUnpacker in) throws IOException {
+	private static @Nullable ShardHolders readHolders(MessageUnpacker in) throws IOException {
+		if (!in.unpackBoolean()) {
+			return null;
+		}
 		long generation = in.unpackLong();
 		Map<Integer, String> members = new HashMap<>();
 		for (int left = in.unpackMapHeader(); left > 0; left--) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.hemlockgw.core.pool.SlotRequest;
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.store.NewestPage;
 import org.hemlockgw.core.store.ShardAssignment;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
@@ -260,18 +261,36 @@
 	}
 
 	/**
-	 * Asks for the holders of all shards, when the store does not answer. Answered by
-	 * {@link Holders}.
+	 * Asks a daemon to read records for one that the store turns away. Answered by
+	 * {@link ReadRelayed}.
+	 *
+	 * @param shard number of the shard
+	 * @param after key after which the page begins; empty for the first page
+	 */
+	record RelayRead(int shard, String after) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link RelayRead}.
+	 *
+	 * @param page records; null if the store does not answer
+	 */
+	record ReadRelayed(@Nullable NewestPage page) implements PeerMessage {
+	}
+
+	/**
+	 * Asks a daemon to read the holders of all shards for one that the store turns away.
+	 * Answered by {@link HoldersRelayed}.
 	 */
-	record AskHolders() implements PeerMessage {
+	record RelayHolders() implements PeerMessage {
 	}
 
 	/**
-	 * Answer to {@link AskHolders}.
+	 * Answer to {@link RelayHolders}.
 	 *
-	 * @param holders the newest assignment that the daemon knows
+	 * @param holders what the store answered; null if it does not answer
 	 */
-	record Holders(ShardHolders holders) implements PeerMessage {
+	record HoldersRelayed(@Nullable ShardHolders holders) implements PeerMessage {
 	}
 
 	/**
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -17,6 +17,7 @@
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
 import org.hemlockgw.core.store.AppendOutcome;
+import org.hemlockgw.core.store.NewestPage;
 import org.hemlockgw.core.store.ShardAssignment;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.turn.TurnRecord;
@@ -43,14 +44,16 @@
 				new PeerMessage.SlotAnswered(SlotAnswer.refused(250, "full")), new PeerMessage.SlotAnswered(null),
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
 				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
-				new PeerMessage.ServerLost("abc"), new PeerMessage.AskHolders(),
+				new PeerMessage.ServerLost("abc"), new PeerMessage.RelayHolders(),
 				new PeerMessage.KeepCopies(3, 8, List.of()), new PeerMessage.OfferCopies(3, List.of()),
 				new PeerMessage.CopiesKept(true), new PeerMessage.CollectCopies(3, 10),
 				new PeerMessage.RelayAppend(3, 8, 2, List.of()), new PeerMessage.AppendRelayed(null),
 				new PeerMessage.AppendRelayed(AppendOutcome.FENCED), new PeerMessage.RelayJoin("d1", 4),
 				new PeerMessage.JoinRelayed(null), new PeerMessage.JoinRelayed(new ShardAssignment(4, Set.of(1, 2))),
-				new PeerMessage.CopiesFound(List.of()),
-				new PeerMessage.Holders(new ShardHolders(4, Map.of(0, "d1", 1, "d2"))));
+				new PeerMessage.CopiesFound(List.of()), new PeerMessage.RelayRead(3, "k"),
+				new PeerMessage.ReadRelayed(null), new PeerMessage.ReadRelayed(new NewestPage(List.of(), true)),
+				new PeerMessage.HoldersRelayed(null),
+				new PeerMessage.HoldersRelayed(new ShardHolders(4, Map.of(0, "d1", 1, "d2"))));
 	}
 
 	@ParameterizedTest
