--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -198,6 +198,9 @@
 		else if (message instanceof PeerMessage.KeepCopies keep) {
 			reply.accept(this.membership.handle(keep));
 		}
+		else if (message instanceof PeerMessage.CopiesTaken taken) {
+			this.membership.handle(taken, sender);
+		}
 		else if (message instanceof PeerMessage.OfferCopies offer) {
 			reply.accept(this.membership.handle(offer));
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
@@ -86,9 +86,8 @@
 	public void send(int shard, long epoch, List<KeyedValue> records, Consumer<Boolean> done) {
 		List<MemberName> targets = targets();
 		PeerMessage.KeepCopies keep = new PeerMessage.KeepCopies(shard, epoch, records);
-		new Gathering(targets.size(),
-				(answers) -> done.accept(!targets.isEmpty() && answers.size() == targets.size()
-						&& answers.stream().allMatch((answer) -> answer.equals(new PeerMessage.CopiesKept(true)))))
+		new Gathering(targets.size(), (answers) -> done.accept(!targets.isEmpty() && answers.size() == targets.size()
+				&& answers.values().stream().allMatch((answer) -> answer.equals(new PeerMessage.CopiesKept(true)))))
 			.ask(targets, keep);
 	}
 
@@ -132,7 +131,13 @@
 		List<KeyedValue> found = new ArrayList<>(this.stash.collect(shard, epoch));
 		List<MemberName> targets = new ArrayList<>(this.known.keySet());
 		new Gathering(targets.size(), (answers) -> {
-			answers.forEach((answer) -> found.addAll(((PeerMessage.CopiesFound) answer).records()));
+			answers.forEach((target, answer) -> {
+				List<KeyedValue> records = ((PeerMessage.CopiesFound) answer).records();
+				found.addAll(records);
+				if (!records.isEmpty()) {
+					this.peers.tell(target.peerAddress(), new PeerMessage.CopiesTaken(shard, records.size()));
+				}
+			});
 			done.accept(new Collected(found, knowsAll() && answers.size() == targets.size()));
 		}).ask(targets, new PeerMessage.CollectCopies(shard, epoch));
 	}
@@ -162,13 +167,17 @@
 			this.offering.add(shard);
 			new Gathering(1, (answers) -> {
 				this.offering.remove(shard);
-				if (answers.equals(List.of(new PeerMessage.CopiesKept(true)))) {
+				if (answers.containsValue(new PeerMessage.CopiesKept(true))) {
 					this.stash.delivered(shard, holder, records.size());
 				}
 			}).ask(List.of(holder), new PeerMessage.OfferCopies(shard, records));
 		}
 	}
 
+	void delivered(PeerMessage.CopiesTaken taken, MemberName holder) {
+		this.stash.delivered(taken.shard(), holder, taken.count());
+	}
+
 	PeerMessage.CopiesFound handle(PeerMessage.CollectCopies collect) {
 		return new PeerMessage.CopiesFound(this.stash.collect(collect.shard(), collect.epoch()));
 	}
@@ -199,13 +208,13 @@
 	 */
 	private final class Gathering {
 
-		private final Consumer<List<PeerMessage>> done;
+		private final Consumer<Map<MemberName, PeerMessage>> done;
 
-		private final List<PeerMessage> answers = new ArrayList<>();
+		private final Map<MemberName, PeerMessage> answers = new HashMap<>();
 
 		private int waiting;
 
-		Gathering(int waiting, Consumer<List<PeerMessage>> done) {
+		Gathering(int waiting, Consumer<Map<MemberName, PeerMessage>> done) {
 			this.waiting = waiting;
 			this.done = done;
 		}
@@ -219,7 +228,7 @@
 				Copies.this.peers.request(target.peerAddress(), question, REPLY_TIMEOUT_MS, new ReplyListener() {
 					@Override
 					public void reply(PeerMessage message) {
-						Gathering.this.answers.add(message);
+						Gathering.this.answers.put(target, message);
 						answered();
 					}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -42,8 +42,11 @@
 	 */
 	private static final long REFRESH_MIN_MS = 100;
 
-	/** Interval in milliseconds at which copies are offered to the holders of shards. */
-	private static final long OFFER_MS = 100;
+	/**
+	 * Interval in milliseconds at which copies are offered to the holders of shards;
+	 * holders that know this daemon have asked by then.
+	 */
+	private static final long OFFER_MS = 500;
 
 	/** Interval in milliseconds at which expired turns are dropped. */
 	private static final long EXPIRY_MS = 5000;
@@ -204,6 +207,18 @@
 		return this.copies.handle(collect);
 	}
 
+	/**
+	 * Notes that a daemon has the copies that it asked for.
+	 * @param taken the copies
+	 * @param sender name of the daemon
+	 */
+	public void handle(PeerMessage.CopiesTaken taken, String sender) {
+		MemberName holder = MemberName.parse(sender);
+		if (holder != null) {
+			this.copies.delivered(taken, holder);
+		}
+	}
+
 	/**
 	 * Calls the store for a daemon that it turns away.
 	 * @param request the call
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
@@ -50,7 +50,9 @@
 		this.byShard.values().removeIf((copies) -> now - copies.sinceNanos > TimeUnit.SECONDS.toNanos(KEPT_S));
 		Copies copies = this.byShard.computeIfAbsent(shard, (key) -> new Copies());
 		copies.sinceNanos = now;
-		copies.deliveredTo = null;
+		if (!records.isEmpty()) {
+			copies.deliveredTo = null;
+		}
 		records.forEach((record) -> copies.records.put(record.key(), record));
 		return true;
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -157,6 +157,9 @@
 		else if (message instanceof PeerMessage.ReadRelayed relayed) {
 			writePage(out.packInt(27), relayed.page());
 		}
+		else if (message instanceof PeerMessage.CopiesTaken taken) {
+			out.packInt(28).packInt(taken.shard()).packInt(taken.count());
+		}
 	}
 
 	/**
@@ -210,6 +213,7 @@
 			case 25 -> new PeerMessage.OfferCopies(in.unpackInt(), readRecords(in));
 			case 26 -> new PeerMessage.RelayRead(in.unpackInt(), in.unpackString());
 			case 27 -> new PeerMessage.ReadRelayed(readPage(in));
+			case 28 -> new PeerMessage.CopiesTaken(in.unpackInt(), in.unpackInt());
 			default -> throw new IOException("unknown message type " + type);
 		};
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -186,6 +186,15 @@
 	record KeepCopies(int shard, long epoch, List<KeyedValue> records) implements PeerMessage {
 	}
 
+	/**
+	 * Tells a daemon that its answer {@link CopiesFound} has arrived. Not answered.
+	 *
+	 * @param shard number of the shard
+	 * @param count number of records in the answer
+	 */
+	record CopiesTaken(int shard, int count) implements PeerMessage {
+	}
+
 	/**
 	 * Hands copies to the holder of their shard. Answered by {@link CopiesKept}.
 	 *
