--- a/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
@@ -49,7 +49,18 @@
 	 * @return entry as JSON
 	 */
 	public String entry(String service, String state) {
-		return "{\"service\":\"" + service + "\",\"address\":\"" + address()
+		return entry(address(), service, state);
+	}
+
+	/**
+	 * Returns the entry that an engine writes to the store.
+	 * @param address where it listens
+	 * @param service name of its service
+	 * @param state {@code ready} or {@code draining}
+	 * @return entry as JSON
+	 */
+	public static String entry(String address, String service, String state) {
+		return "{\"service\":\"" + service + "\",\"address\":\"" + address
 				+ "\",\"zone\":\"here-a\",\"version\":\"v1\",\"slots\":8,\"state\":\"" + state + "\",\"seq\":1}";
 	}
 
