Refuse turns of a lost owner at once while the store is away

Change: 503 with Retry-After 1 s at once if the owner can't serve and the store is away.

Ruled out: serving those shards from the copies; they lack the turns from before the outage, and nothing fences an owner that is only cut off.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -75,6 +75,12 @@
 	 */
 	private static final long HANDOVER_RETRY_AFTER_MS = 200;
 
+	/**
+	 * Retry-After in milliseconds for shards that nobody can take over before the store
+	 * is back, which takes seconds; callers wait for a third of their time at most.
+	 */
+	private static final long STORE_RETRY_AFTER_MS = 1000;
+
 	/** Connections that may fail before a request is refused. */
 	private static final int MAX_CONNECT_FAILURES = 3;
 
@@ -255,6 +261,10 @@
 			return;
 		}
 		this.services.membership().refresh();
+		if (!this.turnOpen && this.services.membership().isStoreAway()) {
+			refuse(503, STORE_RETRY_AFTER_MS, cause + ", store is away");
+			return;
+		}
 		if (!this.turnOpen && remainingMs() < this.limitMs / 2) {
 			refuse(503, HANDOVER_RETRY_AFTER_MS, cause);
 			return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -26,12 +27,21 @@
  */
 final class Copies implements CopySender {
 
-	/** Daemons that keep each record, in other data centres as far as there are any. */
+	/**
+	 * Daemons that keep each record, in other data centres as far as there are any; one
+	 * if no more are reachable.
+	 */
 	private static final int COPIES = 2;
 
 	/** Time in milliseconds for a daemon's reply; a round trip takes about two. */
 	private static final long REPLY_TIMEOUT_MS = 250;
 
+	/**
+	 * Time in milliseconds for which a daemon that did not reply is left out: about a
+	 * restart.
+	 */
+	private static final long AVOID_MS = 2000;
+
 	/** Time in seconds after which a daemon that holds no shard is asked no longer. */
 	private static final long FORGET_S = 120;
 
@@ -53,6 +63,8 @@
 
 	private final Map<MemberName, Long> known = new HashMap<>();
 
+	private final Map<MemberName, Long> failedNanos = new HashMap<>();
+
 	private final Set<Integer> offering = new HashSet<>();
 
 	private @Nullable Long firstSeenNanos;
@@ -91,20 +103,31 @@
 			.ask(targets, keep);
 	}
 
-	// Another choice with each call, so that a daemon that is gone is not asked for ever.
-	private List<MemberName> targets() {
-		Map<String, MemberName> byDataCentre = new LinkedHashMap<>();
+	// Another order with each call. Daemons that did not reply lately count only if there
+	// are no others.
+	private List<MemberName> candidates() {
+		long now = this.nanoClock.getAsLong();
+		this.failedNanos.values().removeIf((since) -> now - since > TimeUnit.MILLISECONDS.toNanos(AVOID_MS));
 		List<MemberName> all = new ArrayList<>(this.known.keySet());
+		all.removeAll(this.failedNanos.keySet());
+		if (all.isEmpty()) {
+			all.addAll(this.known.keySet());
+		}
 		this.turn++;
-		for (int i = 0; i < all.size(); i++) {
-			MemberName member = all.get((i + this.turn) % all.size());
+		Collections.rotate(all, this.turn);
+		return all;
+	}
+
+	private List<MemberName> targets() {
+		Map<String, MemberName> byDataCentre = new LinkedHashMap<>();
+		List<MemberName> all = candidates();
+		for (MemberName member : all) {
 			if (!member.dataCentre().equals(this.self.dataCentre())) {
 				byDataCentre.putIfAbsent(member.dataCentre(), member);
 			}
 		}
 		List<MemberName> targets = new ArrayList<>(byDataCentre.values());
-		for (int i = 0; i < all.size() && targets.size() < COPIES; i++) {
-			MemberName member = all.get((i + this.turn) % all.size());
+		for (MemberName member : all) {
 			if (!targets.contains(member)) {
 				targets.add(member);
 			}
@@ -234,6 +257,7 @@
 
 					@Override
 					public void failed(String cause) {
+						Copies.this.failedNanos.put(target, Copies.this.nanoClock.getAsLong());
 						answered();
 					}
 				});
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -385,6 +385,15 @@
 		return !this.holders.isEmpty() && this.owned.values().stream().allMatch(OwnedShard::isReady);
 	}
 
+	/**
+	 * Tells whether the store answers this daemon neither directly nor through another
+	 * one. Shards can't change hands meanwhile.
+	 * @return whether it is away
+	 */
+	public boolean isStoreAway() {
+		return this.health.isAway();
+	}
+
 	public int shardCount() {
 		return this.store.shardCount();
 	}
