--- a/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
@@ -26,6 +26,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(SpoiltEngine.class);
 
+	/** Body of requests that crash an engine. */
+	public static final String POISON = "poison";
+
 	/** Interval of the events of an endless stream in milliseconds. */
 	private static final long EVENT_MS = 50;
 
@@ -93,9 +96,9 @@
 			}
 			BufferedReader in = new BufferedReader(
 					new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
-			String request = read(in);
+			Request request = read(in);
 			while (request != null) {
-				this.runs.add(request);
+				this.runs.add(request.id());
 				if (!answer(out, request, connection)) {
 					return;
 				}
@@ -110,8 +113,8 @@
 		}
 	}
 
-	// Returns the request identifier, or null at the end of the connection.
-	private static @Nullable String read(BufferedReader in) throws IOException {
+	// Returns null at the end of the connection.
+	private static @Nullable Request read(BufferedReader in) throws IOException {
 		String id = "";
 		int length = 0;
 		String line = in.readLine();
@@ -128,15 +131,19 @@
 			}
 			line = in.readLine();
 		}
-		for (int i = 0; i < length; i++) {
-			if (in.read() < 0) {
+		char[] body = new char[length];
+		for (int read = 0; read < length;) {
+			int count = in.read(body, read, length - read);
+			if (count < 0) {
 				return null;
 			}
+			read += count;
 		}
-		return id;
+		return new Request(id, new String(body));
 	}
 
-	private boolean answer(OutputStream out, String request, Socket connection) throws IOException {
+	private boolean answer(OutputStream out, Request received, Socket connection) throws IOException {
+		String request = received.id();
 		switch (this.answer) {
 			case SILENT -> hold(connection);
 			case NO_HTTP -> write(out, "this is no answer\r\n\r\n");
@@ -158,6 +165,14 @@
 				write(out, whole(request));
 				return true;
 			}
+			case CRASHING -> {
+				if (received.body().equals(POISON)) {
+					connection.setSoLinger(true, 0);
+					return false;
+				}
+				write(out, whole(request));
+				return true;
+			}
 			case ENDLESS -> stream(out, request);
 		}
 		return false;
@@ -209,6 +224,10 @@
 		}
 	}
 
+	private record Request(String id, String body) {
+
+	}
+
 	/**
 	 * How requests are answered.
 	 */
@@ -238,6 +257,9 @@
 		/** Properly, but each connection begins with an answer before any request. */
 		EARLY,
 
+		/** Properly, but {@link #POISON} resets its connection. */
+		CRASHING,
+
 		/** With events that never end. */
 		ENDLESS
 
