Explain a request of the gateway from the logs of its processes

Logs of several processes in one file are told apart by the name in front of each line. Lines that are no JSON are counted on standard error.

--- a/cli/src/main/java/org/hemlockgw/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/hemlockgw/cli/ExplainCommand.java
@@ -10,6 +10,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
@@ -28,7 +29,12 @@
 	@Mixin
 	private final Connections connections = new Connections();
 
-	@Parameters(paramLabel = "REQUEST", description = "Value of the response header X-Hemlock-Request.")
+	@Option(names = "--log-file", paramLabel = "FILE",
+			description = "Reads logs of gateway processes instead of asking daemons; - is standard input.")
+	private List<String> logFiles = List.of();
+
+	@Parameters(paramLabel = "REQUEST",
+			description = "Identifier of the request; of a daemon's, the value of X-Hemlock-Request.")
 	private String request = "";
 
 	ExplainCommand(Platform platform) {
@@ -37,6 +43,10 @@
 
 	@Override
 	public Integer call() {
+		if (!this.logFiles.isEmpty()) {
+			printLogs();
+			return ExitStatus.DONE;
+		}
 		String path = "/explain/" + URLEncoder.encode(this.request, StandardCharsets.UTF_8);
 		Answers answers = Answers.ask(this.platform.admin(), this.connections.daemons(this.platform), path);
 		answers.printUnreachable(this.spec.commandLine().getErr());
@@ -55,4 +65,22 @@
 		return ExitStatus.DONE;
 	}
 
+	private void printLogs() {
+		LogFiles logs = new LogFiles(System.in);
+		this.logFiles.forEach((file) -> logs.read(file, this.request));
+		if (logs.skipped() > 0) {
+			this.spec.commandLine().getErr().println("skipped " + logs.skipped() + " lines that are no JSON");
+		}
+		List<LogFiles.Line> lines = logs.lines();
+		if (lines.isEmpty()) {
+			throw CommandFailure.failed("No line of the logs names request " + this.request);
+		}
+		PrintWriter out = this.spec.commandLine().getOut();
+		for (LogFiles.Line line : lines) {
+			out.println(line.time() + "  " + line.process() + "  " + line.level() + "  " + line.logger() + ": "
+					+ line.message());
+		}
+		out.flush();
+	}
+
 }
--- a/cli/src/test/java/org/hemlockgw/cli/MainTests.java
+++ b/cli/src/test/java/org/hemlockgw/cli/MainTests.java
@@ -112,6 +112,31 @@
 		assertThat(output("drain", "entry-1", "--vm-list", LOG)).contains("entry-1 is draining");
 	}
 
+	// Guards against lines out of order, lines of other requests, and a cause that is
+	// hidden by
+	// one damaged line.
+	@ParameterizedTest
+	@CsvSource({ "front-a , front-b , front-a, front-b", "'  35.1 front-a ', '36.2 front-b ', front-a, front-b" })
+	void explainsARequestFromLogs(String prefix, String otherPrefix, String first, String second) throws IOException {
+		Path file = Files.createTempFile("processes", ".log");
+		file.toFile().deleteOnExit();
+		Files.write(file,
+				List.of(otherPrefix + logLine(2000, "Exchange", "request r1: 503 after 2 ms: shard changes hands"),
+						prefix + logLine(1000, "ProgramOwner", "turn r1 continues t0"),
+						prefix + logLine(1500, "Exchange", "request r2: 404"), "request r1 {cut off"));
+		assertThat(output("explain", "r1", "--log-file", file.toString())).isEqualTo(
+				"1970-01-01T00:00:01Z  " + first + "  INFO  ProgramOwner: turn r1 continues t0\n1970-01-01T00:00:02Z  "
+						+ second + "  INFO  Exchange: request r1: 503 after 2 ms: shard changes hands\n");
+		assertThat(this.err.toString()).contains("skipped 1 lines");
+		assertThat(run("explain", "r9", "--log-file", file.toString())).isEqualTo(ExitStatus.FAILED);
+		assertThat(run("explain", "r1", "--log-file", file + ".missing")).isEqualTo(ExitStatus.INVALID);
+	}
+
+	private static String logLine(long time, String logger, String message) {
+		return "{\"timestamp\":%d,\"level\":\"INFO\",\"loggerName\":\"org.hemlockgw.gateway.%s\",\"formattedMessage\":\"%s\"}"
+			.formatted(time, logger, message);
+	}
+
 	private int patch(long base, String yaml, String... more) throws IOException {
 		Path file = Files.createTempFile("patch", ".yaml");
 		file.toFile().deleteOnExit();
