--- a/cli/src/test/java/org/hemlockgw/cli/MainTests.java
+++ b/cli/src/test/java/org/hemlockgw/cli/MainTests.java
@@ -112,9 +112,8 @@
 		assertThat(output("drain", "entry-1", "--vm-list", LOG)).contains("entry-1 is draining");
 	}
 
-	// Guards against lines out of order, lines of other requests, and a cause that is
-	// hidden by
-	// one damaged line.
+	// Guards against lines out of order or of other requests, and against one damaged
+	// line that hides the others.
 	@ParameterizedTest
 	@CsvSource({ "front-a , front-b , front-a, front-b", "'  35.1 front-a ', '36.2 front-b ', front-a, front-b" })
 	void explainsARequestFromLogs(String prefix, String otherPrefix, String first, String second) throws IOException {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Copies.java
@@ -165,9 +165,7 @@
 		}).ask(targets, new PeerMessage.CollectCopies(shard, epoch));
 	}
 
-	// A daemon that starts while the store is away learns of the others only when they
-	// are
-	// back.
+	// A daemon that starts while the store is away learns of the others when they return.
 	private boolean knowsAll() {
 		return this.firstSeenNanos != null
 				&& this.nanoClock.getAsLong() - this.firstSeenNanos > TimeUnit.MILLISECONDS.toNanos(RETURN_MS);
