--- a/systemtest/src/test/java/org/hemlockgw/systemtest/ConfigurationTests.java
+++ b/systemtest/src/test/java/org/hemlockgw/systemtest/ConfigurationTests.java
@@ -1,10 +1,15 @@
 package org.hemlockgw.systemtest;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
 
 import org.hemlockgw.core.program.Message;
@@ -17,6 +22,8 @@
  */
 class ConfigurationTests {
 
+	private static final ObjectMapper JSON = new ObjectMapper();
+
 	@Test
 	void racingPatchesHaveOneWinnerEverywhereWithinTheBound() throws Exception {
 		try (TestSystem system = TestSystem.start(3, TestSystem.engine())) {
@@ -30,13 +37,42 @@
 			}
 			patches.forEach(CompletableFuture::join);
 			system.awaitVersion(2);
-			List<String> documents = new ArrayList<>();
+			Set<List<JsonNode>> inForce = new HashSet<>();
 			for (DaemonProcess daemon : system.daemons.values()) {
 				assertThat(system.version(daemon)).isEqualTo(2);
-				documents.add(system.get(daemon.admin(), "/config").body());
+				JsonNode snapshot = JSON.readTree(system.get(daemon.admin(), "/config").body());
+				inForce.add(List.of(snapshot.path("document"), snapshot.path("blame"), snapshot.path("notes")));
+			}
+			assertThat(inForce).hasSize(1);
+			// A snapshot also lists rejected patches, which daemons may read later.
+			Await.until("all daemons have read all patches", TestSystem.CONFIGURATION_BOUND, () -> {
+				Set<String> found = snapshots(system);
+				return found.size() == 1 && outcomes(found.iterator().next()).size() == 8;
+			});
+			List<JsonNode> accepted = outcomes(snapshots(system).iterator().next()).stream()
+				.filter((outcome) -> outcome.path("causes").isEmpty())
+				.toList();
+			assertThat(accepted).hasSize(1);
+			assertThat(accepted.get(0).path("version").asLong()).isEqualTo(2);
+		}
+	}
+
+	private static List<JsonNode> outcomes(String snapshot) throws IOException {
+		List<JsonNode> found = new ArrayList<>();
+		for (JsonNode outcome : JSON.readTree(snapshot).path("outcomes")) {
+			if (outcome.path("base").asLong() == 1) {
+				found.add(outcome);
 			}
-			assertThat(documents.stream().distinct().count()).isEqualTo(1);
 		}
+		return found;
+	}
+
+	private static Set<String> snapshots(TestSystem system) throws IOException, InterruptedException {
+		Set<String> found = new HashSet<>();
+		for (DaemonProcess daemon : system.daemons.values()) {
+			found.add(system.get(daemon.admin(), "/config").body());
+		}
+		return found;
 	}
 
 	@Test
