Split the request handling: turn, answer, way to the owner

Cause: Exchange (704 lines) held the turn at its owner, the answer on its way to the caller and the attempts at servers, with nine flags between them. The way to a program's owner and its two times stood in Exchange and TurnEnd, the hash of shards in ProgramOwner and SlotClient, the clock was System.nanoTime in three classes.

Change: TurnSession (opens, reserves, closes once), AnswerRelay (one for each attempt), OwnerClient (here or at another daemon), TimeLimit with the clock of Services, Membership.shardOf. A turn that is being recorded is no longer closed a second time when its caller leaves meanwhile. Two uses of one Retry-After constant have names of their own; figures are the same.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.MemberName;
 import org.hemlockgw.gateway.owner.Membership;
+import org.hemlockgw.gateway.owner.OwnerClient;
 import org.hemlockgw.gateway.owner.ProgramOwner;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerListener;
@@ -97,9 +98,9 @@
 		this.membership = new Membership(loop, store, clock, self, this.peers, this::announceChange);
 		this.owner = new ProgramOwner(this.membership, this.peers);
 		this.slots = new SlotClient(loop, this.membership, this.peers, System::nanoTime);
-		this.services = new Services(loop, clock, wire, () -> this.routes, () -> this.draining, this.membership,
-				this.owner, this.peers, this.slots, new HttpConnections(loop, CONNECT_TIMEOUT_MS), new Suspects(),
-				new Metrics());
+		this.services = new Services(loop, clock, System::nanoTime, wire, () -> this.routes, () -> this.draining,
+				this.membership, new OwnerClient(this.membership, this.owner, this.peers), this.peers, this.slots,
+				new HttpConnections(loop, CONNECT_TIMEOUT_MS), new Suspects(), new Metrics());
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.Future;
@@ -39,8 +38,6 @@
 	/** Requests that may wait behind the one that is handled. */
 	private static final int MAX_PIPELINED = 16;
 
-	private static final long NANOS_PER_MS = 1_000_000;
-
 	private final Services services;
 
 	private final Channel channel;
@@ -51,13 +48,20 @@
 
 	private boolean closing;
 
-	private long idleSinceNanos = System.nanoTime();
+	private TimeLimit idle;
 
 	private @Nullable Future<?> idleTimer;
 
 	public CallerConnection(Services services, Channel channel) {
 		this.services = services;
 		this.channel = channel;
+		this.idle = idle();
+	}
+
+	private TimeLimit idle() {
+		RoutingTable routes = this.services.routes().get();
+		CallerLimits limits = (routes != null) ? routes.limits() : CallerLimits.DEFAULT;
+		return new TimeLimit(this.services.nanoClock(), limits.idleTimeout().toMillis());
 	}
 
 	@Override
@@ -66,14 +70,12 @@
 	}
 
 	private void watchIdle() {
-		RoutingTable routes = this.services.routes().get();
-		Duration limit = ((routes != null) ? routes.limits() : CallerLimits.DEFAULT).idleTimeout();
-		long leftMs = limit.toMillis() - (System.nanoTime() - this.idleSinceNanos) / NANOS_PER_MS;
+		long leftMs = this.idle.leftMs();
 		if (this.current == null && leftMs <= 0) {
 			this.channel.close();
 			return;
 		}
-		long nextMs = (this.current != null) ? limit.toMillis() : leftMs;
+		long nextMs = (this.current != null) ? this.idle.limitMs() : leftMs;
 		this.idleTimer = this.services.loop().schedule(this::watchIdle, Math.max(1, nextMs), TimeUnit.MILLISECONDS);
 	}
 
@@ -168,7 +170,7 @@
 	void ended() {
 		Exchange done = this.current;
 		this.current = null;
-		this.idleSinceNanos = System.nanoTime();
+		this.idle = idle();
 		if (done != null) {
 			done.request().release();
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -2,22 +2,17 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -29,12 +24,9 @@
 import org.hemlockgw.core.route.RequestKind;
 import org.hemlockgw.core.route.Route;
 import org.hemlockgw.core.route.RoutingTable;
-import org.hemlockgw.core.turn.TurnRecord;
 import org.hemlockgw.gateway.net.HttpCall;
 import org.hemlockgw.gateway.net.HttpListener;
 import org.hemlockgw.gateway.peer.PeerMessage;
-import org.hemlockgw.gateway.peer.ReplyListener;
-import org.hemlockgw.gateway.peer.TurnStatus;
 import org.hemlockgw.gateway.slots.Slot;
 
 /**
@@ -48,21 +40,6 @@
 	/** Time in milliseconds assumed for callers that name no deadline. */
 	private static final long DEFAULT_DEADLINE_MS = 30_000;
 
-	/** Time in milliseconds for an owner's first reply; a round trip takes about two. */
-	private static final long OWNER_TIMEOUT_MS = 300;
-
-	/**
-	 * Time in milliseconds for an owner to store a turn; the store may be away for
-	 * seconds.
-	 */
-	private static final long STORE_TIMEOUT_MS = 5000;
-
-	/**
-	 * Pause in milliseconds before another owner is looked for; a take-over takes some
-	 * tens.
-	 */
-	private static final long OWNER_RETRY_MS = 40;
-
 	/**
 	 * Time left in milliseconds below which a request is not sent; no server answers
 	 * faster.
@@ -70,26 +47,21 @@
 	private static final long MIN_SEND_MS = 15;
 
 	/**
-	 * Retry-After in milliseconds while shards change hands; a change takes under a
+	 * Retry-After in milliseconds before a configuration is known; a start takes under a
 	 * second.
 	 */
-	private static final long HANDOVER_RETRY_AFTER_MS = 200;
+	private static final long START_RETRY_AFTER_MS = 500;
 
 	/**
-	 * Retry-After in milliseconds for shards that nobody can take over before the store
-	 * is back, which takes seconds; callers wait for a third of their time at most.
+	 * Retry-After in milliseconds when the servers that were tried can't take the
+	 * request; about the time of a short one.
 	 */
-	private static final long STORE_RETRY_AFTER_MS = 1000;
+	private static final long SERVERS_RETRY_AFTER_MS = 200;
 
 	/** Connections that may fail before a request is refused. */
 	private static final int MAX_CONNECT_FAILURES = 3;
 
-	/** Largest plain answer in bytes; it is held until it is complete. */
-	private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
-
-	private static final long NANOS_PER_MS = 1_000_000;
-
-	private static final byte[] NO_OUTPUT = {};
+	private static final byte[] NO_PROMPT = {};
 
 	private final Services services;
 
@@ -99,44 +71,30 @@
 
 	private final CallerRequest call;
 
-	private final long startNanos = System.nanoTime();
-
 	private final Set<String> excluded = new HashSet<>();
 
+	private TimeLimit time;
+
 	private @Nullable Route route;
 
 	private String pool = "";
 
-	private long limitMs;
-
-	private byte[] prompt = NO_OUTPUT;
+	private @Nullable TurnSession turn;
 
 	private @Nullable Slot slot;
 
 	private @Nullable HttpCall sending;
 
-	private @Nullable Future<?> timer;
-
-	private @Nullable CompositeByteBuf held;
-
-	private @Nullable HttpResponse answerHead;
+	private @Nullable AnswerRelay answer;
 
-	private @Nullable BackendAnswer answer;
-
-	private @Nullable EventScanner scanner;
+	private @Nullable Future<?> timer;
 
 	private int sends;
 
 	private int connectFailures;
 
-	private boolean turnOpen;
-
-	private boolean reserved;
-
 	private boolean mayHaveRun;
 
-	private boolean headSent;
-
 	private boolean answerComplete;
 
 	private boolean done;
@@ -146,6 +104,8 @@
 		this.caller = caller;
 		this.request = request;
 		this.call = services.wire().decode(request);
+		this.time = new TimeLimit(services.nanoClock(),
+				(this.call.deadlineMs() > 0) ? this.call.deadlineMs() : DEFAULT_DEADLINE_MS);
 	}
 
 	FullHttpRequest request() {
@@ -155,7 +115,7 @@
 	void start() {
 		RoutingTable routes = this.services.routes().get();
 		if (routes == null) {
-			refuse(503, 500, "no configuration is known yet");
+			refuse(503, START_RETRY_AFTER_MS, "no configuration is known yet");
 			return;
 		}
 		Route found = routes.match(this.call.host(), this.call.path());
@@ -169,23 +129,30 @@
 		}
 		this.route = found;
 		this.pool = found.pool(this.call.id().hashCode());
-		long deadlineMs = (this.call.deadlineMs() > 0) ? this.call.deadlineMs() : DEFAULT_DEADLINE_MS;
-		this.limitMs = Math.min(deadlineMs, found.timeout().toMillis());
-		this.timer = this.services.loop().schedule(this::timedOut, this.limitMs, TimeUnit.MILLISECONDS);
+		this.time = this.time.withLimit(Math.min(this.time.limitMs(), found.timeout().toMillis()));
+		this.timer = this.services.loop().schedule(this::timedOut, this.time.leftMs(), TimeUnit.MILLISECONDS);
 		if (isCrashing()) {
 			refuse(503, 0, "servers were lost while they ran this request");
 			return;
 		}
-		if (isTurn(found)) {
-			openTurn();
-		}
-		else {
+		PeerMessage.OpenTurn open = turn(found);
+		if (open == null) {
 			acquire();
+			return;
 		}
+		this.turn = new TurnSession(this.services, open, this.time, new TurnEvents());
+		this.turn.open();
 	}
 
-	private boolean isTurn(Route found) {
-		return found.kind() == RequestKind.STREAMING && found.retention() != null && this.call.program() != null;
+	private PeerMessage.@Nullable OpenTurn turn(Route found) {
+		Duration retention = found.retention();
+		String program = this.call.program();
+		if (found.kind() != RequestKind.STREAMING || retention == null || program == null) {
+			return null;
+		}
+		long budget = (this.call.tokenBudget() < 0) ? Long.MAX_VALUE / 2 : this.call.tokenBudget();
+		return new PeerMessage.OpenTurn(this.call.id(), program, this.call.previousTurn(), budget,
+				this.call.maxTokens(), retention.toMillis());
 	}
 
 	private boolean isCrashing() {
@@ -197,10 +164,6 @@
 		return Suspects.digest(this.request.uri(), ByteBufUtil.getBytes(this.request.content()));
 	}
 
-	private long remainingMs() {
-		return this.limitMs - (System.nanoTime() - this.startNanos) / NANOS_PER_MS;
-	}
-
 	private Route route() {
 		if (this.route == null) {
 			throw new IllegalStateException("request " + this.call.id() + " has no route yet");
@@ -208,143 +171,13 @@
 		return this.route;
 	}
 
-	private String program() {
-		return String.valueOf(this.call.program());
-	}
-
-	private long retentionMs() {
-		Duration retention = route().retention();
-		return (retention != null) ? retention.toMillis() : 0;
-	}
-
-	private void openTurn() {
-		long budget = (this.call.tokenBudget() < 0) ? Long.MAX_VALUE / 2 : this.call.tokenBudget();
-		PeerMessage.OpenTurn open = new PeerMessage.OpenTurn(this.call.id(), program(), this.call.previousTurn(),
-				budget, this.call.maxTokens(), retentionMs());
-		int shard = this.services.owner().shard(program());
-		String address = this.services.membership().holds(shard) ? null : this.services.membership().address(shard);
-		ReplyListener replies = new ReplyListener() {
-			@Override
-			public void reply(PeerMessage message) {
-				if (message instanceof PeerMessage.TurnOpened opened) {
-					turnOpened(opened);
-				}
-				else if (message instanceof PeerMessage.ReservationStored stored) {
-					reservationStored(stored.stored());
-				}
-			}
-
-			@Override
-			public void failed(String cause) {
-				logger.info("request {}: owner of shard {}: {}", Exchange.this.call.id(), shard, cause);
-				if (Exchange.this.turnOpen) {
-					reservationStored(false);
-				}
-				else {
-					retryOwner(Exchange.this::openTurn, "owner does not answer");
-				}
-			}
-		};
-		if (this.services.membership().holds(shard)) {
-			this.services.owner().open(open, replies::reply);
-		}
-		else if (address != null) {
-			this.services.peers().request(address, open, OWNER_TIMEOUT_MS, replies);
-		}
-		else {
-			retryOwner(this::openTurn, "owner is not known");
-		}
-	}
-
-	private void retryOwner(Runnable again, String cause) {
-		if (this.done) {
-			return;
-		}
-		this.services.membership().refresh();
-		if (!this.turnOpen && this.services.membership().isStoreAway()) {
-			refuse(503, STORE_RETRY_AFTER_MS, cause + ", store is away");
-			return;
-		}
-		if (!this.turnOpen && remainingMs() < this.limitMs / 2) {
-			refuse(503, HANDOVER_RETRY_AFTER_MS, cause);
-			return;
-		}
-		this.services.loop().schedule(() -> {
-			if (!this.done) {
-				again.run();
-			}
-		}, OWNER_RETRY_MS, TimeUnit.MILLISECONDS);
-	}
-
-	private void turnOpened(PeerMessage.TurnOpened opened) {
-		if (this.done) {
-			if (opened.status() == TurnStatus.OK && !this.turnOpen) {
-				closeTurn(false, () -> {
-				});
-			}
-			return;
-		}
-		switch (opened.status()) {
-			case OK -> {
-				if (!this.turnOpen) {
-					this.turnOpen = true;
-					this.prompt = opened.prompt();
-					acquire();
-				}
-			}
-			case NOT_OWNER -> retryOwner(this::openTurn, "shard changes hands");
-			case BUDGET_SPENT -> {
-				if (this.turnOpen) {
-					breakOff("budget was spent while the owner changed");
-				}
-				else {
-					refuse(402, 0, "token budget is spent");
-				}
-			}
-			case NO_SUCH_TURN -> refuse(404, 0, "no such turn");
-			case UNCERTAIN -> refuse(503, HANDOVER_RETRY_AFTER_MS, "not every daemon said whether it has the turn");
-		}
-	}
-
-	private void reservationStored(boolean stored) {
-		if (this.done || this.reserved) {
-			return;
-		}
-		if (!stored) {
-			retryOwner(this::openTurn, "reservation was lost");
-			return;
-		}
-		this.reserved = true;
-		flushHeld();
-		if (this.answerComplete) {
-			finish();
-		}
-	}
-
-	private void closeTurn(boolean whole, Runnable stored) {
-		EventScanner events = this.scanner;
-		byte[] output = (whole && events != null) ? events.output() : NO_OUTPUT;
-		byte[] input = whole ? ByteBufUtil.getBytes(this.request.content()) : NO_OUTPUT;
-		TurnRecord record = new TurnRecord(this.call.id(), program(), this.call.previousTurn(), input, output,
-				this.services.clock().instant(), Duration.ofMillis(retentionMs()));
-		long leftMs = remainingMs() + STORE_TIMEOUT_MS;
-		new TurnEnd(this.services, new PeerMessage.CloseTurn(record, whole, tokens()), leftMs, stored).send();
-	}
-
-	private int tokens() {
-		RoutingTable routes = this.services.routes().get();
-		Pool served = (routes != null) ? routes.pool(this.pool) : null;
-		int perEvent = (served != null) ? Math.max(1, served.eventTokens()) : 1;
-		return (this.scanner != null && this.headSent) ? this.scanner.events() * perEvent : 0;
-	}
-
 	private void acquire() {
-		long left = remainingMs();
+		long left = this.time.leftMs();
 		if (left < MIN_SEND_MS) {
 			refuse(503, 0, "too little time is left");
 			return;
 		}
-		boolean running = this.call.previousTurn() != null || (this.call.program() != null && !isTurn(route()));
+		boolean running = this.call.previousTurn() != null || (this.call.program() != null && this.turn == null);
 		SlotRequest wanted = new SlotRequest(this.call.id(), this.services.membership().self().text(),
 				route().priority(), running, route().objective().toMillis(), left, this.call.prompt(),
 				Set.copyOf(this.excluded));
@@ -366,7 +199,7 @@
 		if (this.done) {
 			releaseSlot(0, false);
 		}
-		else if (remainingMs() < MIN_SEND_MS) {
+		else if (this.time.leftMs() < MIN_SEND_MS) {
 			refuse(503, 0, "too little time is left");
 		}
 		else {
@@ -384,26 +217,27 @@
 
 	private void send(String server, String address) {
 		this.sends++;
+		byte[] prompt = (this.turn != null) ? this.turn.prompt() : NO_PROMPT;
 		ByteBuf input = this.request.content();
-		ByteBuf body = Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(this.prompt), input.retainedDuplicate());
+		ByteBuf body = Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(prompt), input.retainedDuplicate());
 		HttpRequest head = this.services.wire()
-			.toServer(this.request, server, Math.max(1, remainingMs()), body.readableBytes());
-		this.answer = null;
-		this.answerHead = null;
+			.toServer(this.request, server, Math.max(1, this.time.leftMs()), body.readableBytes());
+		AnswerRelay relay = new AnswerRelay(this.services.wire(), this.caller, route().kind() == RequestKind.STREAMING);
+		this.answer = relay;
 		this.sending = this.services.servers().send(address, head, body, new HttpListener() {
 			@Override
 			public boolean head(HttpResponse response) {
-				return answerBegins(response);
+				return answerBegins(relay, response);
 			}
 
 			@Override
 			public void content(ByteBuf part) {
-				answerContinues(part);
+				answerContinues(relay, part);
 			}
 
 			@Override
 			public void complete() {
-				answerEnds(server);
+				answerEnds(server, relay);
 			}
 
 			@Override
@@ -413,76 +247,36 @@
 		});
 	}
 
-	private boolean answerBegins(HttpResponse response) {
+	private boolean answerBegins(AnswerRelay relay, HttpResponse response) {
 		BackendAnswer decoded = this.services.wire().decode(response);
 		if (decoded.requestId() != null && !decoded.requestId().equals(this.call.id())) {
 			logger.info("request {}: skipping an answer to {}", this.call.id(), decoded.requestId());
 			return false;
 		}
-		this.answer = decoded;
-		this.answerHead = response;
+		relay.begin(response, decoded);
 		return true;
 	}
 
-	private boolean isStream(BackendAnswer decoded) {
-		return route().kind() == RequestKind.STREAMING && decoded.isSuccess() && isGenuine(decoded);
-	}
-
-	private static boolean isGenuine(BackendAnswer decoded) {
-		return decoded.signed() && !decoded.encoded();
-	}
-
-	private void answerContinues(ByteBuf part) {
-		BackendAnswer decoded = this.answer;
-		if (this.done || decoded == null) {
+	private void answerContinues(AnswerRelay relay, ByteBuf part) {
+		if (this.done || relay.decoded() == null) {
 			return;
 		}
-		if (isStream(decoded)) {
-			if (this.scanner == null) {
-				this.scanner = new EventScanner();
-			}
-			this.scanner.add(part);
-		}
-		CompositeByteBuf buffer = this.held;
-		if (buffer == null) {
-			buffer = Unpooled.compositeBuffer(1024);
-			this.held = buffer;
-		}
-		buffer.addComponent(true, Unpooled.copiedBuffer(part));
-		if (buffer.readableBytes() > MAX_ANSWER_BYTES) {
-			breakOff("answer exceeds " + MAX_ANSWER_BYTES + " bytes");
+		if (!relay.add(part)) {
+			breakOff("answer exceeds " + AnswerRelay.MAX_HELD_BYTES + " bytes");
 			return;
 		}
-		if (isStream(decoded)) {
-			flushHeld();
-		}
+		passOn(relay);
 	}
 
-	// Tokens may reach the caller only once their reservation is durable.
-	private void flushHeld() {
-		CompositeByteBuf buffer = this.held;
-		HttpResponse head = this.answerHead;
-		if (buffer == null || head == null || this.answer == null || !isStream(this.answer)
-				|| (this.turnOpen && !this.reserved)) {
-			return;
-		}
-		this.held = null;
-		sendHead(head);
-		this.caller.channel().writeAndFlush(new DefaultHttpContent(buffer));
-		if (!this.caller.channel().isWritable() && this.sending != null) {
+	private void passOn(AnswerRelay relay) {
+		if (mayPassOn() && !relay.passOn() && this.sending != null) {
 			this.sending.pause(true);
 		}
 	}
 
-	private void sendHead(HttpResponse head) {
-		if (this.headSent) {
-			return;
-		}
-		this.headSent = true;
-		HttpResponse response = this.services.wire().toCaller(head);
-		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-		this.caller.announceClose(response);
-		this.caller.channel().write(response);
+	// Tokens may reach the caller only once their reservation is durable.
+	private boolean mayPassOn() {
+		return this.turn == null || this.turn.isReserved();
 	}
 
 	void writable(boolean writable) {
@@ -491,9 +285,9 @@
 		}
 	}
 
-	private void answerEnds(String server) {
+	private void answerEnds(String server, AnswerRelay relay) {
 		this.sending = null;
-		BackendAnswer decoded = this.answer;
+		BackendAnswer decoded = relay.decoded();
 		if (this.done || decoded == null) {
 			return;
 		}
@@ -501,59 +295,41 @@
 			rejected(server, decoded.status());
 			return;
 		}
-		boolean stream = isStream(decoded);
-		EventScanner events = this.scanner;
-		if (decoded.isSuccess() && (!isGenuine(decoded) || (stream && events != null && !events.isAtBoundary()))) {
+		if (!relay.isWhole()) {
 			serverFailed(server, true, "answer without signature or end");
 			return;
 		}
 		boolean failure = decoded.status() >= 500;
-		releaseSlot((failure || !decoded.isSuccess()) ? 0 : Math.max(1, (events != null) ? events.events() : 1),
-				failure);
+		releaseSlot(decoded.isSuccess() ? Math.max(1, relay.events()) : 0, failure);
 		this.mayHaveRun = true;
 		if (failure && route().kind().isRepeatable() && mayTryAgain(server)) {
 			return;
 		}
 		this.answerComplete = true;
-		if (!stream || !this.turnOpen || this.reserved) {
-			finish();
+		if (!relay.isStream() || mayPassOn()) {
+			finish(relay, decoded.status());
 		}
 	}
 
-	private void finish() {
-		BackendAnswer decoded = this.answer;
-		HttpResponse head = this.answerHead;
-		if (decoded == null || head == null || this.done) {
+	private void finish(AnswerRelay relay, int status) {
+		if (this.done) {
 			return;
 		}
-		if (isStream(decoded)) {
-			finishStream(head);
+		if (!relay.isStream()) {
+			this.done = true;
+			cancelTimer();
+			abandonTurn();
+			this.services.metrics().count("answers_" + status);
+			relay.sendWhole();
 			return;
 		}
-		this.done = true;
-		cancelTimer();
-		if (this.turnOpen) {
-			closeTurn(false, () -> {
-			});
-		}
-		ByteBuf body = (this.held != null) ? this.held : Unpooled.EMPTY_BUFFER;
-		this.held = null;
-		HttpResponse headers = this.services.wire().toCaller(head);
-		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, headers.status(), body);
-		response.headers().set(headers.headers());
-		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-		this.services.metrics().count("answers_" + decoded.status());
-		this.caller.answer(response);
-	}
-
-	private void finishStream(HttpResponse head) {
-		flushHeld();
-		sendHead(head);
-		if (!this.turnOpen) {
+		passOn(relay);
+		relay.sendHead();
+		if (this.turn == null) {
 			endStream();
 			return;
 		}
-		closeTurn(true, this::endStream);
+		this.turn.record(ByteBufUtil.getBytes(this.request.content()), relay.output(), tokens(), this::endStream);
 	}
 
 	private void endStream() {
@@ -563,31 +339,53 @@
 		this.done = true;
 		cancelTimer();
 		this.services.metrics().count("streams_complete");
-		this.services.metrics().add("stream_ms", (System.nanoTime() - this.startNanos) / NANOS_PER_MS);
+		this.services.metrics().add("stream_ms", this.time.elapsedMs());
 		this.caller.channel()
 			.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
 			.addListener((written) -> this.caller.ended());
 	}
 
+	private int tokens() {
+		RoutingTable routes = this.services.routes().get();
+		Pool served = (routes != null) ? routes.pool(this.pool) : null;
+		int perEvent = (served != null) ? Math.max(1, served.eventTokens()) : 1;
+		return isHeadSent() ? Objects.requireNonNull(this.answer).events() * perEvent : 0;
+	}
+
+	private boolean isHeadSent() {
+		return this.answer != null && this.answer.isHeadSent();
+	}
+
+	private void abandonTurn() {
+		if (this.turn != null) {
+			this.turn.abandon(tokens());
+		}
+	}
+
 	private void rejected(String server, int status) {
 		this.services.metrics().count("rejected_" + status);
 		releaseSlot(0, true);
-		dropHeld();
 		if (!mayTryAgain(server)) {
-			refuse(503, HANDOVER_RETRY_AFTER_MS, "servers are full");
+			refuse(503, SERVERS_RETRY_AFTER_MS, "servers are full");
 		}
 	}
 
 	private boolean mayTryAgain(String server) {
 		this.excluded.add(server);
-		if (this.sends >= Math.max(1, route().attempts()) || remainingMs() < MIN_SEND_MS) {
+		if (this.sends >= Math.max(1, route().attempts()) || this.time.leftMs() < MIN_SEND_MS) {
 			return false;
 		}
-		dropHeld();
+		dropAnswer();
 		acquire();
 		return true;
 	}
 
+	private void dropAnswer() {
+		if (this.answer != null) {
+			this.answer.drop();
+		}
+	}
+
 	private void serverFailed(String server, boolean sent, String cause) {
 		this.sending = null;
 		if (this.done) {
@@ -600,7 +398,7 @@
 			this.sends--;
 			this.connectFailures++;
 			if (this.connectFailures >= MAX_CONNECT_FAILURES || !mayTryAgain(server)) {
-				refuse(503, HANDOVER_RETRY_AFTER_MS, "no server can be reached");
+				refuse(503, SERVERS_RETRY_AFTER_MS, "no server can be reached");
 			}
 			return;
 		}
@@ -608,11 +406,10 @@
 		if (this.request.content().isReadable()) {
 			reportLoss();
 		}
-		if (this.headSent) {
+		if (isHeadSent()) {
 			breakOff(cause);
 			return;
 		}
-		dropHeld();
 		if (!route().kind().isRepeatable() || !mayTryAgain(server)) {
 			refuse(502, 0, "server failed");
 		}
@@ -630,9 +427,9 @@
 			return;
 		}
 		logger.info("request {}: out of time after {} ms, {} sends, head sent {}, answer complete {}", this.call.id(),
-				this.limitMs, this.sends, this.headSent, this.answerComplete);
+				this.time.limitMs(), this.sends, isHeadSent(), this.answerComplete);
 		this.services.metrics().count("timeouts");
-		if (this.headSent) {
+		if (isHeadSent()) {
 			breakOff("out of time");
 		}
 		else {
@@ -665,8 +462,7 @@
 		int status = (wanted == 503 && this.mayHaveRun) ? 502 : wanted;
 		this.services.metrics().count("refused_" + status);
 		if (status != 404 && status != 402) {
-			logger.info("request {}: {} after {} ms: {}", this.call.id(), status,
-					(System.nanoTime() - this.startNanos) / NANOS_PER_MS, reason);
+			logger.info("request {}: {} after {} ms: {}", this.call.id(), status, this.time.elapsedMs(), reason);
 		}
 		end();
 		this.caller.refuse(status, retryAfterMs, reason);
@@ -681,18 +477,8 @@
 			open.abort();
 		}
 		releaseSlot(0, false);
-		dropHeld();
-		if (this.turnOpen) {
-			closeTurn(false, () -> {
-			});
-		}
-	}
-
-	private void dropHeld() {
-		if (this.held != null) {
-			this.held.release();
-			this.held = null;
-		}
+		dropAnswer();
+		abandonTurn();
 	}
 
 	private void cancelTimer() {
@@ -701,4 +487,39 @@
 		}
 	}
 
+	/**
+	 * What the owner of the program says of the turn.
+	 */
+	private final class TurnEvents implements TurnSession.Listener {
+
+		@Override
+		public void opened() {
+			acquire();
+		}
+
+		@Override
+		public void reserved() {
+			AnswerRelay relay = Exchange.this.answer;
+			BackendAnswer decoded = (relay != null) ? relay.decoded() : null;
+			if (relay == null || decoded == null) {
+				return;
+			}
+			passOn(relay);
+			if (Exchange.this.answerComplete) {
+				finish(relay, decoded.status());
+			}
+		}
+
+		@Override
+		public void refused(int status, long retryAfterMs, String reason) {
+			refuse(status, retryAfterMs, reason);
+		}
+
+		@Override
+		public void broken(String cause) {
+			breakOff(cause);
+		}
+
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -2,6 +2,7 @@
 
 import java.time.InstantSource;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
@@ -10,7 +11,7 @@
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
-import org.hemlockgw.gateway.owner.ProgramOwner;
+import org.hemlockgw.gateway.owner.OwnerClient;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.slots.SlotClient;
 
@@ -19,18 +20,19 @@
  *
  * @param loop event loop
  * @param clock time of day
+ * @param nanoClock time in nanoseconds since some beginning
  * @param wire names of headers
  * @param routes routes in force; null before a configuration is known
  * @param draining whether this daemon is stopping
  * @param membership holders of shards
- * @param owner shards held here
+ * @param owners owners of programs
  * @param peers other daemons
  * @param slots slots at backend servers
  * @param servers connections to backend servers
  * @param suspects requests that crash servers
  * @param metrics counters
  */
-public record Services(EventLoop loop, InstantSource clock, WireFormat wire, Supplier<@Nullable RoutingTable> routes,
-		BooleanSupplier draining, Membership membership, ProgramOwner owner, PeerLinks peers, SlotClient slots,
-		HttpConnections servers, Suspects suspects, Metrics metrics) {
+public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wire,
+		Supplier<@Nullable RoutingTable> routes, BooleanSupplier draining, Membership membership, OwnerClient owners,
+		PeerLinks peers, SlotClient slots, HttpConnections servers, Suspects suspects, Metrics metrics) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnEnd.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnEnd.java
@@ -5,6 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.gateway.owner.OwnerClient;
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.ReplyListener;
 import org.hemlockgw.gateway.peer.TurnStatus;
@@ -17,23 +18,11 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(TurnEnd.class);
 
-	/**
-	 * Time in milliseconds for an owner to store a turn; the store may be slow for
-	 * seconds.
-	 */
-	private static final long STORE_TIMEOUT_MS = 5000;
-
-	/**
-	 * Pause in milliseconds before another owner is looked for; a take-over takes some
-	 * tens.
-	 */
-	private static final long RETRY_MS = 40;
-
 	private final Services services;
 
 	private final PeerMessage.CloseTurn close;
 
-	private final long giveUpNanos;
+	private final TimeLimit time;
 
 	private final Runnable stored;
 
@@ -41,28 +30,18 @@
 	 * Creates the end of a turn.
 	 * @param services what is needed to reach the owner
 	 * @param close the turn
-	 * @param leftMs time in milliseconds after which it is given up
+	 * @param time time after which it is given up
 	 * @param stored runs once the end is durable
 	 */
-	TurnEnd(Services services, PeerMessage.CloseTurn close, long leftMs, Runnable stored) {
+	TurnEnd(Services services, PeerMessage.CloseTurn close, TimeLimit time, Runnable stored) {
 		this.services = services;
 		this.close = close;
-		this.giveUpNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(leftMs);
+		this.time = time;
 		this.stored = stored;
 	}
 
 	void send() {
-		int shard = this.services.owner().shard(this.close.record().program());
-		if (this.services.membership().holds(shard)) {
-			this.services.owner().close(this.close, this::reply);
-			return;
-		}
-		String address = this.services.membership().address(shard);
-		if (address == null) {
-			failed("owner is not known");
-			return;
-		}
-		this.services.peers().request(address, this.close, STORE_TIMEOUT_MS, this);
+		this.services.owners().close(this.close, this);
 	}
 
 	@Override
@@ -77,12 +56,12 @@
 
 	@Override
 	public void failed(String cause) {
-		if (System.nanoTime() - this.giveUpNanos > 0) {
+		if (this.time.leftMs() < 0) {
 			logger.warn("request {}: its end is not recorded: {}", this.close.record().id(), cause);
 			return;
 		}
 		this.services.membership().refresh();
-		this.services.loop().schedule(this::send, RETRY_MS, TimeUnit.MILLISECONDS);
+		this.services.loop().schedule(this::send, OwnerClient.RETRY_MS, TimeUnit.MILLISECONDS);
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -28,6 +28,9 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(Membership.class);
 
+	/** Fibonacci hashing: spreads names that differ in their last characters only. */
+	private static final int HASH_FACTOR = 0x9E3779B9;
+
 	/**
 	 * Interval of joins in milliseconds: a third of the shortest lifetime of a member.
 	 */
@@ -394,6 +397,15 @@
 		return this.health.isAway();
 	}
 
+	/**
+	 * Returns the shard of a program or pool.
+	 * @param name its name
+	 * @return number of the shard
+	 */
+	public int shardOf(String name) {
+		return Math.floorMod(name.hashCode() * HASH_FACTOR, this.store.shardCount());
+	}
+
 	public int shardCount() {
 		return this.store.shardCount();
 	}
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnerClient.java
@@ -0,0 +1,93 @@
+package org.hemlockgw.gateway.owner;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.peer.ReplyListener;
+
+/**
+ * Reaches the owner of a program, which is this daemon or another one.
+ */
+public final class OwnerClient {
+
+	private static final Logger logger = LoggerFactory.getLogger(OwnerClient.class);
+
+	/**
+	 * Pause in milliseconds before another owner is looked for; a take-over takes some
+	 * tens.
+	 */
+	public static final long RETRY_MS = 40;
+
+	/** Time in milliseconds for an owner's first reply; a round trip takes about two. */
+	private static final long REPLY_TIMEOUT_MS = 300;
+
+	/**
+	 * Time in milliseconds for an owner to store a turn; the store may be away for
+	 * seconds.
+	 */
+	public static final long STORE_TIMEOUT_MS = 5000;
+
+	private final Membership membership;
+
+	private final ProgramOwner owner;
+
+	private final PeerLinks peers;
+
+	public OwnerClient(Membership membership, ProgramOwner owner, PeerLinks peers) {
+		this.membership = membership;
+		this.owner = owner;
+		this.peers = peers;
+	}
+
+	/**
+	 * Opens a turn.
+	 * @param open the turn
+	 * @param replies receives {@link PeerMessage.TurnOpened} and
+	 * {@link PeerMessage.ReservationStored}
+	 */
+	public void open(PeerMessage.OpenTurn open, ReplyListener replies) {
+		int shard = this.membership.shardOf(open.program());
+		if (this.membership.holds(shard)) {
+			this.owner.open(open, replies::reply);
+			return;
+		}
+		request(shard, open.turn(), open, REPLY_TIMEOUT_MS, replies);
+	}
+
+	/**
+	 * Ends a turn.
+	 * @param close the turn
+	 * @param replies receives {@link PeerMessage.TurnClosed}
+	 */
+	public void close(PeerMessage.CloseTurn close, ReplyListener replies) {
+		int shard = this.membership.shardOf(close.record().program());
+		if (this.membership.holds(shard)) {
+			this.owner.close(close, replies::reply);
+			return;
+		}
+		request(shard, close.record().id(), close, STORE_TIMEOUT_MS, replies);
+	}
+
+	private void request(int shard, String turn, PeerMessage message, long timeoutMs, ReplyListener replies) {
+		String address = this.membership.address(shard);
+		if (address == null) {
+			replies.failed("owner is not known");
+			return;
+		}
+		this.peers.request(address, message, timeoutMs, new ReplyListener() {
+			@Override
+			public void reply(PeerMessage answer) {
+				replies.reply(answer);
+			}
+
+			@Override
+			public void failed(String cause) {
+				logger.info("request {}: owner of shard {}: {}", turn, shard, cause);
+				replies.failed("owner does not answer");
+			}
+		});
+	}
+
+}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -40,15 +40,6 @@
 		this.peers = peers;
 	}
 
-	/**
-	 * Returns the shard of a program.
-	 * @param program the program
-	 * @return number of the shard
-	 */
-	public int shard(String program) {
-		return Math.floorMod(program.hashCode() * 0x9E3779B9, this.membership.shardCount());
-	}
-
 	/**
 	 * Opens a turn.
 	 * @param open the turn
@@ -56,7 +47,7 @@
 	 * {@link PeerMessage.ReservationStored}
 	 */
 	public void open(PeerMessage.OpenTurn open, Consumer<PeerMessage> reply) {
-		OwnedShard shard = this.membership.owned(shard(open.program()));
+		OwnedShard shard = owned(open.program());
 		if (shard == null) {
 			reply.accept(new PeerMessage.TurnOpened(TurnStatus.NOT_OWNER, NO_PROMPT));
 			return;
@@ -90,6 +81,10 @@
 		return bytes.toByteArray();
 	}
 
+	private @Nullable OwnedShard owned(String program) {
+		return this.membership.owned(this.membership.shardOf(program));
+	}
+
 	private @Nullable List<TurnRecord> chain(String turn) {
 		for (OwnedShard shard : this.membership.owned().values()) {
 			List<TurnRecord> chain = shard.isReady() ? shard.chain(turn) : null;
@@ -106,7 +101,7 @@
 	 * @param reply takes {@link PeerMessage.TurnClosed}
 	 */
 	public void close(PeerMessage.CloseTurn close, Consumer<PeerMessage> reply) {
-		OwnedShard shard = this.membership.owned(shard(close.record().program()));
+		OwnedShard shard = owned(close.record().program());
 		if (shard == null) {
 			reply.accept(new PeerMessage.TurnClosed(TurnStatus.NOT_OWNER));
 			return;
@@ -193,7 +188,7 @@
 		}
 
 		private void adopt(List<TurnRecord> chain) {
-			OwnedShard shard = ProgramOwner.this.membership.owned(shard(this.open.program()));
+			OwnedShard shard = owned(this.open.program());
 			if (shard == null) {
 				this.reply.accept(new PeerMessage.TurnOpened(TurnStatus.NOT_OWNER, NO_PROMPT));
 				return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -73,12 +73,8 @@
 		return this.schedulers.computeIfAbsent(pool, (name) -> new PoolScheduler(this.nanoClock));
 	}
 
-	private int shard(String pool) {
-		return Math.floorMod(pool.hashCode() * 0x9E3779B9, this.membership.shardCount());
-	}
-
 	private @Nullable String schedulerAddress(String pool) {
-		return this.membership.address(shard(pool));
+		return this.membership.address(this.membership.shardOf(pool));
 	}
 
 	/**
@@ -164,7 +160,7 @@
 	 * {@link PeerMessage.SlotAnswered}
 	 */
 	public void handle(PeerMessage.AcquireSlot acquire, Consumer<PeerMessage> reply) {
-		if (!this.membership.holds(shard(acquire.pool()))) {
+		if (!this.membership.holds(this.membership.shardOf(acquire.pool()))) {
 			reply.accept(new PeerMessage.SlotAnswered(null));
 			return;
 		}
