Charge the end of a turn once, also if it is sent again

Cause, found in reading: an owner charged the tokens of a turn at each end that reached it. Closing once in TurnSession mends one way only; the owner is the place that must bear repeats.

Change: ProgramBudget remembers which turns are settled.

Ruled out: keeping the list in the store; a repeat that reaches a new owner finds the turn itself there, and ends that were broken off are rare.

--- a/core/src/main/java/org/hemlockgw/core/turn/ProgramBudget.java
+++ b/core/src/main/java/org/hemlockgw/core/turn/ProgramBudget.java
@@ -2,7 +2,9 @@
 
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Tokens that the turns of one program have generated and may still generate.
@@ -11,6 +13,8 @@
 
 	private final Map<String, Integer> open;
 
+	private final Set<String> settled = new HashSet<>();
+
 	private long spent;
 
 	private Instant keptUntil;
@@ -40,18 +44,22 @@
 			return false;
 		}
 		this.open.put(turn, most);
+		this.settled.remove(turn);
 		return true;
 	}
 
 	/**
 	 * Replaces a reservation by what was used. A turn without a reservation is charged in
-	 * full, because its reservation may have been lost with an earlier owner.
+	 * full, because its reservation may have been lost with an earlier owner. A turn that
+	 * is settled again, since the answer to its end was lost, is not charged again.
 	 * @param turn identifier of the turn
 	 * @param used tokens handed to the caller
 	 */
 	public void settle(String turn, int used) {
 		this.open.remove(turn);
-		this.spent += used;
+		if (this.settled.add(turn)) {
+			this.spent += used;
+		}
 	}
 
 	public void keepUntil(Instant time) {
--- a/core/src/test/java/org/hemlockgw/core/turn/TurnShardTests.java
+++ b/core/src/test/java/org/hemlockgw/core/turn/TurnShardTests.java
@@ -99,6 +99,24 @@
 		assertThat(budget.reserve("b", 100, 80)).isTrue();
 	}
 
+	// Guards against a turn that is charged twice because its end is sent again: the
+	// program would be told too early that its budget is spent.
+	@ParameterizedTest
+	@CsvSource({ "true, 1", "true, 2", "true, 5", "false, 1", "false, 2", "false, 5" })
+	void endThatIsSentAgainIsChargedOnce(boolean reserved, int ends) {
+		ProgramBudget budget = new ProgramBudget(START);
+		if (reserved) {
+			assertThat(budget.reserve("t1", 100, 40)).isTrue();
+		}
+		for (int i = 0; i < ends; i++) {
+			budget.settle("t1", 30);
+		}
+		assertThat(budget.spent()).isEqualTo(30);
+		assertThat(budget.reserve("t2", 100, 70)).isTrue();
+		budget.settle("t2", 70);
+		assertThat(budget.spent()).isEqualTo(100);
+	}
+
 	private void add(String id, @Nullable String parent, long second) {
 		this.shard.add(new TurnRecord(id, "p", parent, new byte[0], new byte[0], START.plusSeconds(second),
 				Duration.ofSeconds(60)));
