Count losses of servers with the one list of suspects

Cause: gateway.entry.Suspects was a second type of the name and purpose of core.retry.Suspects, without a time after which a loss is forgotten, and the digest, the list and the message to others were spread over three methods of Exchange.

Change: core.retry.Suspects takes the limit as an argument and counts deaths whose start is not known by the same clock; clocks of VMs differ by seconds, so its rule for one death seen twice does not fit reports of other daemons. CrashingRequests holds digest, list and message. A loss is forgotten after an hour.

Ruled out: the start of the attempt in the message; it would let a crashing request run more than three times when clocks differ.

--- a/core/src/main/java/org/hemlockgw/core/retry/Suspects.java
+++ b/core/src/main/java/org/hemlockgw/core/retry/Suspects.java
@@ -11,7 +11,9 @@
  */
 public final class Suspects {
 
-	/** Engine deaths after which content is quarantined. */
+	/**
+	 * Engine deaths after which content is quarantined, unless another figure is given.
+	 */
 	public static final int DEATHS_TO_QUARANTINE = 2;
 
 	/** How long content stays quarantined, and how long a death is remembered. */
@@ -21,6 +23,28 @@
 
 	private final Map<String, Suspect> suspects = new LinkedHashMap<>();
 
+	private final int deathsToQuarantine;
+
+	public Suspects() {
+		this(DEATHS_TO_QUARANTINE);
+	}
+
+	/**
+	 * Creates an empty list.
+	 * @param deathsToQuarantine engine deaths after which content is quarantined
+	 */
+	public Suspects(int deathsToQuarantine) {
+		this.deathsToQuarantine = deathsToQuarantine;
+	}
+
+	/**
+	 * Tells whether no death is remembered, so that no digest is needed.
+	 * @return whether the list is empty
+	 */
+	public synchronized boolean isEmpty() {
+		return this.suspects.isEmpty();
+	}
+
 	/**
 	 * Notes that an engine died under an attempt. Attempts with equal content that were
 	 * on the same engine when it died count as one death.
@@ -31,16 +55,29 @@
 	 * @return whether the content is to be quarantined
 	 */
 	public synchronized boolean died(String digest, String engine, Instant attemptStart, Instant now) {
+		Suspect known = this.suspects.get(digest);
+		boolean same = known != null && known.engine().equals(engine) && !attemptStart.isAfter(known.lastDeath());
+		return add(digest, engine, now, same ? 0 : 1);
+	}
+
+	/**
+	 * Notes that an engine died under an attempt, whose start is not known by the same
+	 * clock. Each death counts.
+	 * @param digest content digest
+	 * @param engine the engine
+	 * @param now time of the death
+	 * @return whether the content is to be quarantined
+	 */
+	public synchronized boolean died(String digest, String engine, Instant now) {
+		return add(digest, engine, now, 1);
+	}
+
+	private boolean add(String digest, String engine, Instant now, int more) {
 		Suspect before = this.suspects.remove(digest);
-		if (before == null || now.isAfter(before.lastDeath().plus(QUARANTINE))) {
-			evict();
-			this.suspects.put(digest, new Suspect(1, engine, now));
-			return false;
-		}
-		boolean same = before.engine().equals(engine) && !attemptStart.isAfter(before.lastDeath());
-		int deaths = same ? before.deaths() : before.deaths() + 1;
+		int deaths = (before == null || now.isAfter(before.lastDeath().plus(QUARANTINE))) ? 1 : before.deaths() + more;
+		evict();
 		this.suspects.put(digest, new Suspect(deaths, engine, now));
-		return deaths >= DEATHS_TO_QUARANTINE;
+		return deaths >= this.deathsToQuarantine;
 	}
 
 	public synchronized boolean suspect(String digest, Instant now) {
@@ -57,7 +94,7 @@
 	 */
 	public synchronized boolean quarantined(String digest, Instant now) {
 		Suspect known = this.suspects.get(digest);
-		return known != null && known.deaths() >= DEATHS_TO_QUARANTINE
+		return known != null && known.deaths() >= this.deathsToQuarantine
 				&& !now.isAfter(known.lastDeath().plus(QUARANTINE));
 	}
 
--- a/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
+++ b/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
@@ -8,6 +8,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import org.hemlockgw.core.common.CallFailure;
 import org.hemlockgw.core.common.ErrorCode;
@@ -69,4 +71,17 @@
 		assertThat(suspects.quarantined("d", NOW.plusSeconds(3604))).isFalse();
 	}
 
+	// Guards against a limit that is not kept when all deaths are of one engine.
+	@ParameterizedTest
+	@CsvSource({ "1, 1, true", "2, 1, false", "3, 2, false", "3, 3, true" })
+	void deathsOfUnknownStartAllCount(int limit, int deaths, boolean quarantined) {
+		Suspects suspects = new Suspects(limit);
+		assertThat(suspects.isEmpty()).isTrue();
+		for (int i = 0; i < deaths; i++) {
+			suspects.died("d", "e1", NOW);
+		}
+		assertThat(suspects.isEmpty()).isFalse();
+		assertThat(suspects.quarantined("d", NOW)).isEqualTo(quarantined);
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -24,9 +24,9 @@
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.entry.CallerConnection;
+import org.hemlockgw.gateway.entry.CrashingRequests;
 import org.hemlockgw.gateway.entry.Metrics;
 import org.hemlockgw.gateway.entry.Services;
-import org.hemlockgw.gateway.entry.Suspects;
 import org.hemlockgw.gateway.entry.WireFormat;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.MemberName;
@@ -99,8 +99,9 @@
 		this.owner = new ProgramOwner(this.membership, this.peers);
 		this.slots = new SlotClient(loop, this.membership, this.peers, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wire, () -> this.routes, () -> this.draining,
-				this.membership, new OwnerClient(this.membership, this.owner, this.peers), this.peers, this.slots,
-				new HttpConnections(loop, CONNECT_TIMEOUT_MS), new Suspects(), new Metrics());
+				this.membership, new OwnerClient(this.membership, this.owner, this.peers), this.slots,
+				new HttpConnections(loop, CONNECT_TIMEOUT_MS), new CrashingRequests(clock, this.membership, this.peers),
+				new Metrics());
 	}
 
 	/**
@@ -216,7 +217,7 @@
 			this.membership.refresh();
 		}
 		else if (message instanceof PeerMessage.ServerLost lost) {
-			this.services.suspects().add(lost.digest());
+			this.services.crashing().handle(lost);
 		}
 		else {
 			logger.warn("ignoring {} from {}", message.getClass().getSimpleName(), sender);
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -131,7 +131,7 @@
 		this.pool = found.pool(this.call.id().hashCode());
 		this.time = this.time.withLimit(Math.min(this.time.limitMs(), found.timeout().toMillis()));
 		this.timer = this.services.loop().schedule(this::timedOut, this.time.leftMs(), TimeUnit.MILLISECONDS);
-		if (isCrashing()) {
+		if (this.services.crashing().contains(this.request)) {
 			refuse(503, 0, "servers were lost while they ran this request");
 			return;
 		}
@@ -155,15 +155,6 @@
 				this.call.maxTokens(), retention.toMillis());
 	}
 
-	private boolean isCrashing() {
-		return !this.services.suspects().isEmpty() && this.request.content().isReadable()
-				&& this.services.suspects().isBlocked(digest());
-	}
-
-	private String digest() {
-		return Suspects.digest(this.request.uri(), ByteBufUtil.getBytes(this.request.content()));
-	}
-
 	private Route route() {
 		if (this.route == null) {
 			throw new IllegalStateException("request " + this.call.id() + " has no route yet");
@@ -403,9 +394,7 @@
 			return;
 		}
 		this.mayHaveRun = true;
-		if (this.request.content().isReadable()) {
-			reportLoss();
-		}
+		this.services.crashing().add(this.request, server);
 		if (isHeadSent()) {
 			breakOff(cause);
 			return;
@@ -415,13 +404,6 @@
 		}
 	}
 
-	private void reportLoss() {
-		String digest = digest();
-		this.services.suspects().add(digest);
-		PeerMessage.ServerLost lost = new PeerMessage.ServerLost(digest);
-		this.services.membership().peers().forEach((peer) -> this.services.peers().tell(peer, lost));
-	}
-
 	private void timedOut() {
 		if (this.done) {
 			return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -12,7 +12,6 @@
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.owner.OwnerClient;
-import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.slots.SlotClient;
 
 /**
@@ -26,13 +25,12 @@
  * @param draining whether this daemon is stopping
  * @param membership holders of shards
  * @param owners owners of programs
- * @param peers other daemons
  * @param slots slots at backend servers
  * @param servers connections to backend servers
- * @param suspects requests that crash servers
+ * @param crashing requests during which servers were lost
  * @param metrics counters
  */
 public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wire,
 		Supplier<@Nullable RoutingTable> routes, BooleanSupplier draining, Membership membership, OwnerClient owners,
-		PeerLinks peers, SlotClient slots, HttpConnections servers, Suspects suspects, Metrics metrics) {
+		SlotClient slots, HttpConnections servers, CrashingRequests crashing, Metrics metrics) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -83,8 +83,8 @@
 			Fields.writeRequest(out, hold.request());
 			out.packString(hold.server());
 		}, (in) -> new PeerMessage.HoldSlot(in.unpackString(), Fields.readRequest(in), in.unpackString()));
-		add(13, PeerMessage.ServerLost.class, (out, lost) -> out.packString(lost.digest()),
-				(in) -> new PeerMessage.ServerLost(in.unpackString()));
+		add(13, PeerMessage.ServerLost.class, (out, lost) -> out.packString(lost.digest()).packString(lost.server()),
+				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackString()));
 		add(14, PeerMessage.SlotQueued.class, (out, queued) -> {
 		}, (in) -> new PeerMessage.SlotQueued());
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -312,9 +312,10 @@
 	/**
 	 * Tells that a server was lost while it ran a request. Not answered.
 	 *
-	 * @param digest digest of the request's path, caller and body
+	 * @param digest digest of the request's path and body
+	 * @param server the server
 	 */
-	record ServerLost(String digest) implements PeerMessage {
+	record ServerLost(String digest, String server) implements PeerMessage {
 	}
 
 }
