Ask and copy to each daemon by its address, once

Cause: a reading of Membership and Copies showed that the daemons known lately were keyed by their whole name. A daemon that was restarted at the same address counted twice for 120 s, so both copies of a record of an outage could be kept by one process, and a loss of it lost both.

Change: the daemons known lately are their own class, KnownMembers, keyed by peer address.

Ruled out: dropping the older of two names at the store; the list comes from successive generations and no single one holds both names.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.hemlockgw.gateway.entry.Services;
 import org.hemlockgw.gateway.entry.WireFormat;
 import org.hemlockgw.gateway.net.HttpConnections;
+import org.hemlockgw.gateway.owner.CopyService;
 import org.hemlockgw.gateway.owner.MemberName;
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.owner.OwnerClient;
@@ -70,6 +71,8 @@
 
 	private final Membership membership;
 
+	private final CopyService copies;
+
 	private final ProgramOwner owner;
 
 	private final PeerLinks peers;
@@ -95,7 +98,8 @@
 				settings.peers().getAddress().getHostAddress() + ":" + settings.peers().getPort(),
 				settings.dataCentre(), Long.toString(clock.millis(), Character.MAX_RADIX));
 		this.peers = new PeerLinks(loop, self.text());
-		this.membership = new Membership(loop, store, clock, self, this.peers, this::announceChange);
+		this.membership = new Membership(loop, store, clock, System::nanoTime, self, this.peers, this::announceChange);
+		this.copies = this.membership.copyService();
 		this.owner = new ProgramOwner(this.membership, this.peers);
 		this.slots = new SlotClient(loop, this.membership, this.peers, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wire, () -> this.routes, () -> this.draining,
@@ -198,20 +202,19 @@
 			this.slots.handle(hold);
 		}
 		else if (message instanceof PeerMessage.KeepCopies keep) {
-			reply.accept(this.membership.handle(keep));
+			reply.accept(this.copies.handle(keep));
 		}
 		else if (message instanceof PeerMessage.CopiesTaken taken) {
-			this.membership.handle(taken, sender);
+			this.copies.handle(taken, sender);
 		}
 		else if (message instanceof PeerMessage.OfferCopies offer) {
-			reply.accept(this.membership.handle(offer));
+			reply.accept(this.copies.handle(offer));
 		}
 		else if (message instanceof PeerMessage.CollectCopies collect) {
-			reply.accept(this.membership.handle(collect));
+			reply.accept(this.copies.handle(collect));
 		}
-		else if (message instanceof PeerMessage.RelayAppend || message instanceof PeerMessage.RelayJoin
-				|| message instanceof PeerMessage.RelayRead || message instanceof PeerMessage.RelayHolders) {
-			this.membership.relay(message, reply);
+		else if (message instanceof PeerMessage.StoreCall call) {
+			this.copies.handle(call, reply);
 		}
 		else if (message instanceof PeerMessage.AssignmentChanged) {
 			this.membership.refresh();
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -2,13 +2,13 @@
 
 import java.time.InstantSource;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -19,7 +19,6 @@
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.peer.PeerLinks;
-import org.hemlockgw.gateway.peer.PeerMessage;
 
 /**
  * Shards that this daemon holds and, as far as it knows, who holds the others.
@@ -73,9 +72,11 @@
 
 	private final Copies copies;
 
-	private ShardHolders known = new ShardHolders(0, Map.of());
+	private final KnownMembers members;
 
-	private Map<Integer, MemberName> holders = Map.of();
+	private final Holders holders;
+
+	private final LongSupplier nanoClock;
 
 	private long generation;
 
@@ -91,21 +92,35 @@
 
 	private long refreshedNanos;
 
-	public Membership(EventLoop loop, StateStore store, InstantSource clock, MemberName self, PeerLinks peers,
-			Runnable changed) {
+	/**
+	 * Creates a member that has not joined yet.
+	 * @param loop event loop
+	 * @param store the store
+	 * @param clock time of day
+	 * @param nanoClock time in nanoseconds since some beginning
+	 * @param self name of this daemon
+	 * @param peers links to other daemons
+	 * @param changed runs when this daemon has lost shards
+	 */
+	public Membership(EventLoop loop, StateStore store, InstantSource clock, LongSupplier nanoClock, MemberName self,
+			PeerLinks peers, Runnable changed) {
 		this.loop = loop;
 		this.clock = clock;
+		this.nanoClock = nanoClock;
 		this.self = self;
-		this.health = new StoreHealth(System::nanoTime);
-		this.copies = new Copies(peers, this.health, self, System::nanoTime);
-		this.store = new RelayedStore(store, peers, this.copies::helper);
 		this.changed = changed;
+		this.members = new KnownMembers(self, nanoClock);
+		this.holders = new Holders(self);
+		this.health = new StoreHealth(nanoClock);
+		this.copies = new Copies(peers, this.members, this.health, self, nanoClock);
+		this.store = new RelayedStore(store, peers, this.members);
 	}
 
 	public void start() {
 		this.loop.scheduleAtFixedRate(this::join, 0, JOIN_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::readOwners, 0, OWNERS_MS, TimeUnit.MILLISECONDS);
-		this.loop.scheduleAtFixedRate(() -> this.copies.offer(this.holders), OFFER_MS, OFFER_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(() -> this.copies.offer(this.holders.byShard()), OFFER_MS, OFFER_MS,
+				TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(() -> this.owned.values().forEach(OwnedShard::expire), EXPIRY_MS, EXPIRY_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -114,7 +129,7 @@
 	 * Asks the store for the assignment now.
 	 */
 	public void refresh() {
-		long now = System.nanoTime();
+		long now = this.nanoClock.getAsLong();
 		if (now - this.refreshedNanos < TimeUnit.MILLISECONDS.toNanos(REFRESH_MIN_MS)) {
 			return;
 		}
@@ -197,52 +212,24 @@
 	}
 
 	/**
-	 * Gives up a shard that another daemon has taken over and returns what it lacks.
-	 * @param collect the request of the new holder
-	 * @return records that the store may not have
+	 * Gives a shard up if another daemon has taken it over.
+	 * @param number number of the shard
+	 * @param epoch epoch of its writer
 	 */
-	public PeerMessage.CopiesFound handle(PeerMessage.CollectCopies collect) {
-		OwnedShard shard = this.owned.get(collect.shard());
-		if (shard != null && shard.epoch() < collect.epoch()) {
-			drop(collect.shard());
+	void giveUp(int number, long epoch) {
+		OwnedShard shard = this.owned.get(number);
+		if (shard != null && shard.epoch() < epoch) {
+			drop(number);
 			join();
 		}
-		return this.copies.handle(collect);
 	}
 
 	/**
-	 * Notes that a daemon has the copies that it asked for.
-	 * @param taken the copies
-	 * @param sender name of the daemon
+	 * Returns what this daemon does for others whose store is away.
+	 * @return the service
 	 */
-	public void handle(PeerMessage.CopiesTaken taken, String sender) {
-		MemberName holder = MemberName.parse(sender);
-		if (holder != null) {
-			this.copies.delivered(taken, holder);
-		}
-	}
-
-	/**
-	 * Calls the store for a daemon that it turns away.
-	 * @param request the call
-	 * @param reply takes the answer
-	 */
-	public void relay(PeerMessage request, Consumer<PeerMessage> reply) {
-		this.store.handle(request, reply);
-	}
-
-	public PeerMessage.CopiesKept handle(PeerMessage.KeepCopies keep) {
-		return this.copies.handle(keep);
-	}
-
-	/**
-	 * Adds copies to a shard that this daemon holds.
-	 * @param offer the copies
-	 * @return whether they were added
-	 */
-	public PeerMessage.CopiesKept handle(PeerMessage.OfferCopies offer) {
-		OwnedShard shard = this.owned.get(offer.shard());
-		return new PeerMessage.CopiesKept(shard != null && shard.accept(offer.records()));
+	public CopyService copyService() {
+		return new CopyService(this, this.copies, this.store);
 	}
 
 	private void readOwners() {
@@ -261,30 +248,18 @@
 	}
 
 	/**
-	 * Takes over what the store or another daemon says of the holders, unless it is older
-	 * than what is known. Shards that others hold are given up.
+	 * Takes over what the store says of the holders, unless it is older than what is
+	 * known. Shards that others hold are given up.
 	 * @param found the holders
 	 */
 	void learn(ShardHolders found) {
-		if (found.generation() < this.known.generation()) {
+		if (!this.holders.update(found)) {
 			return;
 		}
-		Map<Integer, MemberName> names = new HashMap<>();
-		found.members().forEach((shard, member) -> {
-			MemberName name = MemberName.parse(member);
-			if (name == null) {
-				logger.warn("shard {} is held by '{}', which is no name of a daemon", shard, member);
-			}
-			else {
-				names.put(shard, name);
-			}
-		});
-		this.known = found;
-		this.copies.seen(names.values());
-		this.holders = names;
+		this.members.seen(this.holders.members());
 		if (found.generation() > this.generation) {
 			Set<Integer> lost = new TreeSet<>(this.owned.keySet());
-			lost.removeIf((shard) -> this.self.equals(names.get(shard)));
+			lost.removeIf(this.holders::isSelf);
 			lost.forEach(this::drop);
 			if (!lost.isEmpty()) {
 				logger.info("generation {}: shards {} were given to others", found.generation(), lost);
@@ -361,8 +336,7 @@
 	 * @return peer address, or null if unknown or this daemon
 	 */
 	public @Nullable String address(int shard) {
-		MemberName holder = this.holders.get(shard);
-		return (holder == null || holder.equals(this.self)) ? null : holder.peerAddress();
+		return this.holders.address(shard);
 	}
 
 	/**
@@ -370,13 +344,7 @@
 	 * @return peer addresses
 	 */
 	public Set<String> peers() {
-		Set<String> found = new HashSet<>();
-		this.holders.values().forEach((holder) -> {
-			if (!holder.equals(this.self)) {
-				found.add(holder.peerAddress());
-			}
-		});
-		return found;
+		return this.holders.peers();
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -84,7 +84,7 @@
 		this.ready = true;
 		if (!copies.whole()) {
 			this.awaitingCopies = true;
-			this.loop.schedule(() -> this.awaitingCopies = false, Copies.RETURN_MS, TimeUnit.MILLISECONDS);
+			this.loop.schedule(() -> this.awaitingCopies = false, KnownMembers.RETURN_MS, TimeUnit.MILLISECONDS);
 		}
 		int missing = merge(copies.records());
 		logger.info("shard {} is taken over with {} turns, {} records from other daemons, all asked: {}", this.number,
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
@@ -5,11 +5,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
@@ -27,8 +24,6 @@
  */
 final class RelayedStore implements StateStore {
 
-	private static final Logger logger = LoggerFactory.getLogger(RelayedStore.class);
-
 	/**
 	 * Time in milliseconds for another daemon's answer: two of its own calls to the
 	 * store.
@@ -39,7 +34,7 @@
 
 	private final PeerLinks peers;
 
-	private final Supplier<@Nullable MemberName> others;
+	private final KnownMembers members;
 
 	// The daemon whose relay worked last.
 	private @Nullable MemberName helper;
@@ -50,12 +45,12 @@
 	 * Creates a store.
 	 * @param direct the store itself
 	 * @param peers links to other daemons
-	 * @param others names another daemon with each call, or null if none is known
+	 * @param members other daemons
 	 */
-	RelayedStore(StateStore direct, PeerLinks peers, Supplier<@Nullable MemberName> others) {
+	RelayedStore(StateStore direct, PeerLinks peers, KnownMembers members) {
 		this.direct = direct;
 		this.peers = peers;
-		this.others = others;
+		this.members = members;
 	}
 
 	@Override
@@ -93,7 +88,7 @@
 				(answer) -> (answer instanceof PeerMessage.HoldersRelayed relayed) ? relayed.holders() : null);
 	}
 
-	private <T> CompletableFuture<T> call(CompletableFuture<T> call, PeerMessage request,
+	private <T> CompletableFuture<T> call(CompletableFuture<T> call, PeerMessage.StoreCall request,
 			Function<PeerMessage, @Nullable T> decoder) {
 		// A member that waits for a call to fail before each relay loses its shards.
 		CompletableFuture<T> relayed = this.turnedAway ? relay(request, decoder) : null;
@@ -118,14 +113,14 @@
 		return result;
 	}
 
-	private <T> CompletableFuture<T> relay(PeerMessage request, Function<PeerMessage, @Nullable T> decoder) {
+	private <T> CompletableFuture<T> relay(PeerMessage.StoreCall request, Function<PeerMessage, @Nullable T> decoder) {
 		CompletableFuture<T> result = new CompletableFuture<>();
-		MemberName known = this.helper;
-		MemberName target = (known != null) ? known : this.others.get();
-		if (target == null) {
+		List<MemberName> targets = (this.helper != null) ? List.of(this.helper) : this.members.choose(1);
+		if (targets.isEmpty()) {
 			result.completeExceptionally(new IOException("no other daemon is known"));
 			return result;
 		}
+		MemberName target = targets.get(0);
 		this.peers.request(target.peerAddress(), request, REPLY_TIMEOUT_MS, new ReplyListener() {
 			@Override
 			public void reply(PeerMessage message) {
@@ -151,29 +146,26 @@
 
 	/**
 	 * Makes a call for another daemon, without a relay of its own.
-	 * @param request the call
+	 * @param call the call
 	 * @param reply takes the answer
 	 */
-	void handle(PeerMessage request, Consumer<PeerMessage> reply) {
-		if (request instanceof PeerMessage.RelayAppend relay) {
+	void handle(PeerMessage.StoreCall call, Consumer<PeerMessage> reply) {
+		if (call instanceof PeerMessage.RelayAppend relay) {
 			this.direct.append(relay.shard(), relay.epoch(), relay.sequence(), relay.records())
 				.whenComplete((outcome, error) -> reply.accept(new PeerMessage.AppendRelayed(outcome)));
 		}
-		else if (request instanceof PeerMessage.RelayJoin relay) {
+		else if (call instanceof PeerMessage.RelayJoin relay) {
 			this.direct.join(relay.member(), relay.generation())
 				.whenComplete((assignment, error) -> reply.accept(new PeerMessage.JoinRelayed(assignment)));
 		}
-		else if (request instanceof PeerMessage.RelayRead relay) {
+		else if (call instanceof PeerMessage.RelayRead relay) {
 			this.direct.newest(relay.shard(), relay.after())
 				.whenComplete((page, error) -> reply.accept(new PeerMessage.ReadRelayed(page)));
 		}
-		else if (request instanceof PeerMessage.RelayHolders) {
+		else {
 			this.direct.owners()
 				.whenComplete((holders, error) -> reply.accept(new PeerMessage.HoldersRelayed(holders)));
 		}
-		else {
-			logger.warn("{} is not relayed", request.getClass().getSimpleName());
-		}
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Stash.java
@@ -27,7 +27,7 @@
 
 	private final LongSupplier nanoClock;
 
-	private final Map<Integer, Copies> byShard = new HashMap<>();
+	private final Map<Integer, Entry> byShard = new HashMap<>();
 
 	private final Map<Integer, Long> collectedEpochs = new HashMap<>();
 
@@ -47,13 +47,13 @@
 			return false;
 		}
 		long now = this.nanoClock.getAsLong();
-		this.byShard.values().removeIf((copies) -> now - copies.sinceNanos > TimeUnit.SECONDS.toNanos(KEPT_S));
-		Copies copies = this.byShard.computeIfAbsent(shard, (key) -> new Copies());
-		copies.sinceNanos = now;
+		this.byShard.values().removeIf((entry) -> now - entry.sinceNanos > TimeUnit.SECONDS.toNanos(KEPT_S));
+		Entry entry = this.byShard.computeIfAbsent(shard, (key) -> new Entry());
+		entry.sinceNanos = now;
 		if (!records.isEmpty()) {
-			copies.deliveredTo = null;
+			entry.deliveredTo = null;
 		}
-		records.forEach((record) -> copies.records.put(record.key(), record));
+		records.forEach((record) -> entry.records.put(record.key(), record));
 		return true;
 	}
 
@@ -72,8 +72,8 @@
 	 * @return records, one for each key
 	 */
 	List<KeyedValue> undelivered(int shard, MemberName holder) {
-		Copies copies = this.byShard.get(shard);
-		return (copies != null && !holder.equals(copies.deliveredTo)) ? new ArrayList<>(copies.records.values())
+		Entry entry = this.byShard.get(shard);
+		return (entry != null && !holder.equals(entry.deliveredTo)) ? new ArrayList<>(entry.records.values())
 				: List.of();
 	}
 
@@ -84,9 +84,9 @@
 	 * @param count number of records that it was given
 	 */
 	void delivered(int shard, MemberName holder, int count) {
-		Copies copies = this.byShard.get(shard);
-		if (copies != null && copies.records.size() == count) {
-			copies.deliveredTo = holder;
+		Entry entry = this.byShard.get(shard);
+		if (entry != null && entry.records.size() == count) {
+			entry.deliveredTo = holder;
 		}
 	}
 
@@ -98,11 +98,11 @@
 	 */
 	List<KeyedValue> collect(int shard, long epoch) {
 		this.collectedEpochs.merge(shard, epoch, Math::max);
-		Copies copies = this.byShard.get(shard);
-		return (copies != null) ? new ArrayList<>(copies.records.values()) : List.of();
+		Entry entry = this.byShard.get(shard);
+		return (entry != null) ? new ArrayList<>(entry.records.values()) : List.of();
 	}
 
-	private static final class Copies {
+	private static final class Entry {
 
 		private final Map<String, KeyedValue> records = new LinkedHashMap<>();
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -240,7 +240,7 @@
 	 * @param sequence number of the append within the epoch
 	 * @param records the records
 	 */
-	record RelayAppend(int shard, long epoch, long sequence, List<KeyedValue> records) implements PeerMessage {
+	record RelayAppend(int shard, long epoch, long sequence, List<KeyedValue> records) implements StoreCall {
 	}
 
 	/**
@@ -258,7 +258,7 @@
 	 * @param member name of the daemon
 	 * @param generation the last generation that it received
 	 */
-	record RelayJoin(String member, long generation) implements PeerMessage {
+	record RelayJoin(String member, long generation) implements StoreCall {
 	}
 
 	/**
@@ -276,7 +276,7 @@
 	 * @param shard number of the shard
 	 * @param after key after which the page begins; empty for the first page
 	 */
-	record RelayRead(int shard, String after) implements PeerMessage {
+	record RelayRead(int shard, String after) implements StoreCall {
 	}
 
 	/**
@@ -291,7 +291,7 @@
 	 * Asks a daemon to read the holders of all shards for one that the store turns away.
 	 * Answered by {@link HoldersRelayed}.
 	 */
-	record RelayHolders() implements PeerMessage {
+	record RelayHolders() implements StoreCall {
 	}
 
 	/**
@@ -318,4 +318,11 @@
 	record ServerLost(String digest, String server) implements PeerMessage {
 	}
 
+	/**
+	 * Call of the store for a daemon that it turns away.
+	 */
+	sealed interface StoreCall extends PeerMessage {
+
+	}
+
 }
--- /dev/null
+++ b/gateway/src/test/java/org/hemlockgw/gateway/owner/KnownMembersTests.java
@@ -0,0 +1,89 @@
+package org.hemlockgw.gateway.owner;
+
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link KnownMembers}. Daemons are named by address, data centre and
+ * incarnation.
+ */
+class KnownMembersTests {
+
+	private static final int ROUNDS = 20;
+
+	private long nanos = TimeUnit.SECONDS.toNanos(1);
+
+	private final KnownMembers members = new KnownMembers(member("s:1/a/x"), () -> this.nanos);
+
+	// Guards against two copies at one daemon that was restarted, or at this one.
+	@ParameterizedTest
+	@CsvSource({ "b:1/a/x b:1/a/y c:1/a/x, 2", "b:1/a/x b:1/a/y, 1", "s:1/a/w b:1/a/x, 1", "s:1/a/x b:1/a/x, 1" })
+	void addressCountsOnce(String seen, int expected) {
+		Arrays.stream(seen.split(" ")).forEach((name) -> this.members.seen(List.of(member(name))));
+		for (int i = 0; i < ROUNDS; i++) {
+			Set<String> addresses = new HashSet<>();
+			this.members.choose(2).forEach((member) -> addresses.add(member.peerAddress()));
+			assertThat(addresses).hasSize(expected);
+			assertThat(addresses).doesNotContain("s:1");
+		}
+		assertThat(this.members.all()).hasSize(expected);
+	}
+
+	// Guards against copies in one data centre only, and against daemons that are never
+	// asked.
+	@ParameterizedTest
+	@CsvSource({ "b:1/a/x c:1/b/x d:1/b/x, 1", "b:1/b/x c:1/c/x d:1/c/x, 2", "b:1/a/x c:1/a/x d:1/a/x, 0" })
+	void otherDataCentresComeFirst(String seen, int elsewhere) {
+		this.members.seen(Arrays.stream(seen.split(" ")).map(KnownMembersTests::member).toList());
+		Set<MemberName> asked = new HashSet<>();
+		for (int i = 0; i < ROUNDS; i++) {
+			List<MemberName> chosen = this.members.choose(2);
+			assertThat(
+					chosen.stream().map(MemberName::dataCentre).filter((name) -> !name.equals("a")).distinct().count())
+				.isEqualTo(elsewhere);
+			asked.addAll(chosen);
+		}
+		assertThat(asked).hasSize(3);
+	}
+
+	// Guards against a lost daemon that is asked again and again, and against none being
+	// asked.
+	@ParameterizedTest
+	@CsvSource({ "b:1, 0, c:1", "b:1, 1999, c:1", "b:1, 2001, b:1 c:1", "b:1 c:1, 0, b:1 c:1" })
+	void daemonThatDidNotReplyIsLeftOut(String failed, long laterMs, String expected) {
+		this.members.seen(List.of(member("b:1/a/x"), member("c:1/a/x")));
+		Arrays.stream(failed.split(" ")).forEach((address) -> this.members.failed(member(address + "/a/x")));
+		this.nanos += TimeUnit.MILLISECONDS.toNanos(laterMs);
+		assertThat(this.members.choose(2).stream().map(MemberName::peerAddress).toList())
+			.containsExactlyElementsIn(expected.split(" "));
+		assertThat(this.members.all()).hasSize(2);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "0, false, 1", "2000, false, 1", "2001, true, 1", "121000, true, 0" })
+	void membersBecomeCompleteAndAreForgotten(long laterMs, boolean complete, int left) {
+		assertThat(this.members.isComplete()).isFalse();
+		this.members.seen(List.of(member("b:1/a/x")));
+		this.nanos += TimeUnit.MILLISECONDS.toNanos(laterMs);
+		assertThat(this.members.isComplete()).isEqualTo(complete);
+		this.members.seen(List.of());
+		assertThat(this.members.all()).hasSize(left);
+	}
+
+	private static MemberName member(String text) {
+		MemberName name = MemberName.parse(text);
+		if (name == null) {
+			throw new IllegalArgumentException(text);
+		}
+		return name;
+	}
+
+}
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -112,7 +112,10 @@
 	}
 
 	static Stream<Class<?>> types() {
-		return Arrays.stream(PeerMessage.class.getPermittedSubclasses());
+		return Stream
+			.concat(Arrays.stream(PeerMessage.class.getPermittedSubclasses()),
+					Arrays.stream(PeerMessage.StoreCall.class.getPermittedSubclasses()))
+			.filter((type) -> !type.isInterface());
 	}
 
 	// Guards against a type of message that was forgotten here.
