Notice silent connections to the store within a second, and test its other disturbances

Cause: a read that waits for changes of the configuration has no answer for 1.5 s as a rule, so a connection that went silent was noticed after 2.3 s; the platform allows 2 s for a change. A call that timed out then took the next idle connection, which was as silent.

A request without any answer in time closes the idle connections to that server that have not been used since it was sent. The clock of HttpConnections and PeerLinks is passed in.

The stand-in of the store learns to be slow and late, to reassign, and to drop history.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -97,15 +97,15 @@
 		MemberName self = new MemberName(
 				settings.peers().getAddress().getHostAddress() + ":" + settings.peers().getPort(),
 				settings.dataCentre(), Long.toString(clock.millis(), Character.MAX_RADIX));
-		this.peers = new PeerLinks(loop, self.text());
+		this.peers = new PeerLinks(loop, self.text(), System::nanoTime);
 		this.membership = new Membership(loop, store, clock, System::nanoTime, self, this.peers, this::announceChange);
 		this.copies = this.membership.copyService();
 		this.owner = new ProgramOwner(this.membership, this.peers);
 		this.slots = new SlotClient(loop, this.membership, this.peers, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wire, () -> this.routes, () -> this.draining,
 				this.membership, new OwnerClient(this.membership, this.owner, this.peers), this.slots,
-				new HttpConnections(loop, CONNECT_TIMEOUT_MS), new CrashingRequests(clock, this.membership, this.peers),
-				new Metrics());
+				new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime),
+				new CrashingRequests(clock, this.membership, this.peers), new Metrics());
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -411,6 +411,9 @@
 		logger.info("request {}: out of time after {} ms, {} sends, head sent {}, answer complete {}", this.call.id(),
 				this.time.limitMs(), this.sends, isHeadSent(), this.answerComplete);
 		this.services.metrics().count("timeouts");
+		if (this.sending != null) {
+			this.sending.abandon();
+		}
 		if (isHeadSent()) {
 			breakOff("out of time");
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpCall.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpCall.java
@@ -26,6 +26,18 @@
 		}
 	}
 
+	/**
+	 * Gives up a request that was not answered in time, like {@link #abort()}. Kept
+	 * connections to the same server that are as old are closed too: a network that drops
+	 * connections without a word seldom drops one.
+	 */
+	public void abandon() {
+		this.ended = true;
+		if (this.connection != null) {
+			this.connection.abandon();
+		}
+	}
+
 	/**
 	 * Stops or continues reading the answer.
 	 * @param pause true to stop
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
@@ -4,8 +4,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -20,12 +22,16 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Kept connections by address. All methods run on the event loop.
  */
 public final class HttpConnections {
 
+	private static final Logger logger = LoggerFactory.getLogger(HttpConnections.class);
+
 	/**
 	 * Idle time in milliseconds after which a connection is not trusted, if its server
 	 * names none.
@@ -42,12 +48,21 @@
 
 	private final int connectTimeoutMs;
 
+	private final LongSupplier nanoClock;
+
 	private final Map<String, Deque<HttpExchangeHandler>> idle = new HashMap<>();
 
 	private long opened;
 
-	public HttpConnections(EventLoop loop, int connectTimeoutMs) {
+	/**
+	 * Creates an empty pool.
+	 * @param loop event loop
+	 * @param connectTimeoutMs time for a connection in milliseconds
+	 * @param nanoClock time in nanoseconds since some beginning
+	 */
+	public HttpConnections(EventLoop loop, int connectTimeoutMs, LongSupplier nanoClock) {
 		this.loop = loop;
+		this.nanoClock = nanoClock;
 		this.connectTimeoutMs = connectTimeoutMs;
 		loop.scheduleAtFixedRate(this::closeExpired, 1, 1, TimeUnit.SECONDS);
 	}
@@ -110,7 +125,7 @@
 
 	private @Nullable HttpExchangeHandler takeIdle(String address) {
 		Deque<HttpExchangeHandler> kept = this.idle.get(address);
-		long now = System.nanoTime();
+		long now = nanoTime();
 		while (kept != null && !kept.isEmpty()) {
 			HttpExchangeHandler handler = kept.pollLast();
 			if (handler.isUsable(now)) {
@@ -132,8 +147,27 @@
 		}
 	}
 
+	/**
+	 * Closes the idle connections to a server that have not been used since some time.
+	 * @param address the server's IP number and port
+	 * @param nanos the time
+	 */
+	void closeIdleSince(String address, long nanos) {
+		Deque<HttpExchangeHandler> kept = this.idle.getOrDefault(address, new ArrayDeque<>());
+		List<HttpExchangeHandler> suspects = kept.stream().filter((handler) -> handler.isIdleSince(nanos)).toList();
+		kept.removeAll(suspects);
+		suspects.forEach(HttpExchangeHandler::close);
+		if (!suspects.isEmpty()) {
+			logger.info("{} did not answer; closing {} idle connections", address, suspects.size());
+		}
+	}
+
+	long nanoTime() {
+		return this.nanoClock.getAsLong();
+	}
+
 	private void closeExpired() {
-		long now = System.nanoTime();
+		long now = nanoTime();
 		this.idle.values().forEach((kept) -> {
 			while (!kept.isEmpty() && !kept.getFirst().isUsable(now)) {
 				kept.removeFirst().close();
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpExchangeHandler.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpExchangeHandler.java
@@ -42,6 +42,10 @@
 
 	private boolean reset;
 
+	private boolean heard;
+
+	private long sentNanos;
+
 	private long keepAliveMs;
 
 	private long idleSinceNanos;
@@ -56,6 +60,8 @@
 		this.call = next;
 		this.listener = receiver;
 		this.inAnswer = false;
+		this.heard = false;
+		this.sentNanos = this.owner.nanoTime();
 		next.attach(this);
 		this.channel.write(head);
 		if (body.isReadable()) {
@@ -77,6 +83,20 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Closes a connection whose request was not answered in time.
+	 */
+	void abandon() {
+		close();
+		if (!this.heard) {
+			this.owner.closeIdleSince(this.address, this.sentNanos);
+		}
+	}
+
+	boolean isIdleSince(long nanos) {
+		return this.idleSinceNanos - nanos <= 0;
+	}
+
 	void autoRead(boolean on) {
 		this.channel.config().setAutoRead(on);
 	}
@@ -102,6 +122,7 @@
 			close();
 			return;
 		}
+		this.heard = true;
 		if (msg instanceof HttpResponse response && !head(response, receiver)) {
 			return;
 		}
@@ -158,7 +179,7 @@
 		done.end();
 		if (this.reusable && this.channel.isActive()) {
 			this.channel.config().setAutoRead(true);
-			this.idleSinceNanos = System.nanoTime();
+			this.idleSinceNanos = this.owner.nanoTime();
 			this.owner.idle(this.address, this);
 		}
 		else {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -44,13 +45,22 @@
 
 	private final String self;
 
+	private final LongSupplier nanoClock;
+
 	private final Map<String, Link> links = new HashMap<>();
 
 	private long correlation;
 
-	public PeerLinks(EventLoop loop, String self) {
+	/**
+	 * Creates links that are opened when they are needed.
+	 * @param loop event loop
+	 * @param self name of this daemon
+	 * @param nanoClock time in nanoseconds since some beginning
+	 */
+	public PeerLinks(EventLoop loop, String self, LongSupplier nanoClock) {
 		this.loop = loop;
 		this.self = self;
+		this.nanoClock = nanoClock;
 	}
 
 	/**
@@ -90,7 +100,7 @@
 
 		private final @Nullable ChannelFuture connecting;
 
-		private long lastReadNanos = System.nanoTime();
+		private long lastReadNanos = PeerLinks.this.nanoClock.getAsLong();
 
 		Link(String address) {
 			this.address = address;
@@ -142,7 +152,7 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) throws IOException {
-			this.lastReadNanos = System.nanoTime();
+			this.lastReadNanos = PeerLinks.this.nanoClock.getAsLong();
 			PeerCodec.Frame decoded = PeerCodec.decode(PeerFrames.bytes(frame));
 			Pending pending = this.open.get(decoded.correlation());
 			if (pending == null) {
@@ -215,7 +225,8 @@
 			if (this.link.open.remove(this.id) == null) {
 				return;
 			}
-			if (System.nanoTime() - this.link.lastReadNanos > TimeUnit.MILLISECONDS.toNanos(SILENCE_MS)) {
+			long silence = PeerLinks.this.nanoClock.getAsLong() - this.link.lastReadNanos;
+			if (silence > TimeUnit.MILLISECONDS.toNanos(SILENCE_MS)) {
 				this.link.drop("silent");
 			}
 			this.listener.failed("peer " + this.link.address + " did not reply within " + timeoutMs + " ms");
--- a/gateway/src/test/java/org/hemlockgw/gateway/owner/MembershipTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/owner/MembershipTests.java
@@ -44,10 +44,11 @@
 	private final MemberName self = new MemberName("127.0.0.1:1", "a", "x");
 
 	private final Membership membership = new Membership(this.loop, this.store, InstantSource.system(),
-			System::nanoTime, this.self, new PeerLinks(this.loop, this.self.text()), () -> {
+			System::nanoTime, this.self, new PeerLinks(this.loop, this.self.text(), System::nanoTime), () -> {
 			});
 
-	private final ProgramOwner owner = new ProgramOwner(this.membership, new PeerLinks(this.loop, this.self.text()));
+	private final ProgramOwner owner = new ProgramOwner(this.membership,
+			new PeerLinks(this.loop, this.self.text(), System::nanoTime));
 
 	@AfterEach
 	void stop() {
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
@@ -62,7 +62,7 @@
 		if (behaviour.equals("refused")) {
 			listener.close().syncUninterruptibly();
 		}
-		PeerLinks links = new PeerLinks(this.loop, "self");
+		PeerLinks links = new PeerLinks(this.loop, "self", System::nanoTime);
 		this.loop.execute(() -> links.request("127.0.0.1:" + port,
 				new PeerMessage.OpenTurn("t", "p", null, 100, 10, 1000), 200, new ReplyListener() {
 					@Override
--- a/standins/src/main/java/org/hemlockgw/standins/platform/StorePartition.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StorePartition.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,7 +21,7 @@
 
 	private final List<byte[]> records = new ArrayList<>();
 
-	private final TreeMap<String, Long> newest = new TreeMap<>();
+	private final TreeMap<String, Newest> newest = new TreeMap<>();
 
 	private final Map<String, Producer> producers = new HashMap<>();
 
@@ -75,7 +76,7 @@
 				this.newest.remove(key);
 			}
 			else {
-				this.newest.put(key, end());
+				this.newest.put(key, new Newest(end(), Arrays.copyOfRange(record, valueOffset(record), record.length)));
 			}
 			this.records.add(record);
 		}
@@ -102,14 +103,32 @@
 		return this.records.get((int) (offset - this.first));
 	}
 
+	/**
+	 * Drops all records but the newest of each key, which can no longer be read in order.
+	 */
+	void dropHistory() {
+		this.first = end();
+		this.records.clear();
+	}
+
 	/**
 	 * Returns the newest record of each key.
-	 * @return offsets by key, in the order of the keys
+	 * @return records by key, in the order of the keys
 	 */
-	TreeMap<String, Long> newest() {
+	TreeMap<String, Newest> newest() {
 		return this.newest;
 	}
 
+	/**
+	 * Newest record of a key.
+	 *
+	 * @param offset its place
+	 * @param value its value
+	 */
+	record Newest(long offset, byte[] value) {
+
+	}
+
 	private static final class Producer {
 
 		private final Map<Long, Map<String, Object>> last = new HashMap<>();
--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -5,8 +5,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -14,6 +14,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -22,7 +24,7 @@
 
 /**
  * Stand-in of the platform's store: keyed topics, producers with epochs, one group, and
- * switches for an outage and for lost answers.
+ * switches for its disturbances.
  */
 public final class StoreServer implements AutoCloseable {
 
@@ -45,6 +47,14 @@
 
 	private int answersToLose;
 
+	private Duration answerDelay = Duration.ZERO;
+
+	private Duration appendDelay = Duration.ZERO;
+
+	private int lateAppends;
+
+	private int rotation;
+
 	public StoreServer(int partitionsPerTopic) {
 		this.partitionsPerTopic = partitionsPerTopic;
 		this.server = new StandinHttpServer("127.0.0.1:0", this::handle);
@@ -81,6 +91,40 @@
 		this.answersToLose = count;
 	}
 
+	/**
+	 * Sets how much later all answers come.
+	 * @param delay the time; zero for a store at its usual speed
+	 */
+	public synchronized void setAnswerDelay(Duration delay) {
+		this.answerDelay = delay;
+	}
+
+	/**
+	 * Breaks the connections of the next appends, which are done later.
+	 * @param count how many
+	 * @param delay the time until they are done
+	 */
+	public synchronized void delayAppends(int count, Duration delay) {
+		this.lateAppends = count;
+		this.appendDelay = delay;
+	}
+
+	/**
+	 * Drops all records but the newest of each key, from all topics.
+	 */
+	public synchronized void dropHistory() {
+		this.partitions.values().forEach(StorePartition::dropHistory);
+		notifyAll();
+	}
+
+	/**
+	 * Gives all partitions to other members at once.
+	 */
+	public synchronized void reassign() {
+		this.rotation++;
+		this.generation++;
+	}
+
 	/**
 	 * Writes a record as the operator or an engine does.
 	 * @param topic a keyed topic
@@ -101,12 +145,15 @@
 	}
 
 	private void handle(Exchange exchange) throws IOException {
+		Duration delay;
 		synchronized (this) {
 			if (this.down) {
 				exchange.respondError(503, "down");
 				return;
 			}
+			delay = this.answerDelay;
 		}
+		pause(delay);
 		switch (exchange.route()) {
 			case "POST /log-append" -> append(exchange);
 			case "GET /log-read" -> read(exchange);
@@ -118,14 +165,26 @@
 		}
 	}
 
+	private static void pause(Duration time) throws IOException {
+		try {
+			TimeUnit.NANOSECONDS.sleep(time.toNanos());
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("stopped", ex);
+		}
+	}
+
 	private void append(Exchange exchange) throws IOException {
 		byte[] body = exchange.body();
 		Map<String, Object> answer;
 		synchronized (this) {
-			answer = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0)).append(
-					exchange.queryText("producer", "p"), exchange.queryNumber("epoch", 0),
-					exchange.queryNumber("seq", 0), body);
-			notifyAll();
+			if (body.length > 0 && this.lateAppends > 0) {
+				this.lateAppends--;
+				CompletableFuture.delayedExecutor(this.appendDelay.toMillis(), TimeUnit.MILLISECONDS)
+					.execute(() -> append(exchange, body));
+				throw new IOException("append is late");
+			}
+			answer = append(exchange, body);
 			if (body.length > 0 && this.answersToLose > 0) {
 				this.answersToLose--;
 				throw new IOException("answer is lost");
@@ -134,6 +193,14 @@
 		exchange.respond((Integer) answer.getOrDefault("status", 500), answer);
 	}
 
+	private synchronized Map<String, Object> append(Exchange exchange, byte[] body) {
+		Map<String, Object> answer = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0)).append(
+				exchange.queryText("producer", "p"), exchange.queryNumber("epoch", 0), exchange.queryNumber("seq", 0),
+				body);
+		notifyAll();
+		return answer;
+	}
+
 	private synchronized void read(Exchange exchange) throws IOException {
 		StorePartition partition = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0));
 		long from = exchange.queryNumber("from", 0);
@@ -165,16 +232,15 @@
 
 	private synchronized void newest(Exchange exchange) throws IOException {
 		StorePartition partition = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0));
-		Map<String, Long> rest = partition.newest().tailMap(exchange.queryText("after", ""), false);
+		Map<String, StorePartition.Newest> rest = partition.newest().tailMap(exchange.queryText("after", ""), false);
 		List<Map<String, Object>> items = new ArrayList<>();
-		for (Map.Entry<String, Long> entry : rest.entrySet()) {
+		for (Map.Entry<String, StorePartition.Newest> entry : rest.entrySet()) {
 			if (items.size() == PAGE_ITEMS) {
 				break;
 			}
-			byte[] record = partition.record(entry.getValue());
-			byte[] value = Arrays.copyOfRange(record, StorePartition.valueOffset(record), record.length);
-			items.add(Map.of("key", entry.getKey(), "value", Base64.getEncoder().encodeToString(value), "offset",
-					entry.getValue()));
+			StorePartition.Newest record = entry.getValue();
+			items.add(Map.of("key", entry.getKey(), "value", Base64.getEncoder().encodeToString(record.value()),
+					"offset", record.offset()));
 		}
 		exchange.respond(200, Map.of("items", items, "has_more", rest.size() > items.size(), "end", partition.end()));
 	}
@@ -214,7 +280,7 @@
 	private Map<List<Object>, String> assignment() {
 		List<String> names = List.copyOf(this.members.keySet());
 		Map<List<Object>, String> rows = new LinkedHashMap<>();
-		int next = 0;
+		int next = this.rotation;
 		for (String topic : this.topics) {
 			for (int part = 0; part < this.partitionsPerTopic && !names.isEmpty(); part++) {
 				rows.put(List.of(topic, part, 0), names.get(next++ % names.size()));
