Write structured log lines for every request, and distributions as metrics

Cause: lines were texts, a request that was answered left none, refusals with 402 and 404 neither; the queue dropped lines without a count; metrics had counters only. An engineer with an identifier could not tell what a request had waited for.

Change: package telemetry. LogFields lists the names of all fields; RequestLog writes the lines and metrics of a request in one place, with exactly one line for its end (route, configuration version, server, sends, wait for the slot, reason); lines on shards, owners, the store and servers carry fields too, and the store's loss and return have one each. Metrics has distributions (HdrHistogram) of answers, refusals, slot waits, store calls and append batches. hemlockctl explain prints fields and matches whole identifiers only. A full server that is the only one is now told apart from "no server", and its callers may come back after one average answer instead of 1 s.

Ruled out: Logback's own filter for repeated lines, which has no limit per second; Micrometer, which adds a registry that one process with one event loop does not need.

--- a/cli/src/main/java/org/hemlockgw/cli/LogFiles.java
+++ b/cli/src/main/java/org/hemlockgw/cli/LogFiles.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -43,9 +44,10 @@
 	 * @param request the request
 	 */
 	void read(String file, String request) {
+		Pattern name = Pattern.compile("(?<![\\w-])" + Pattern.quote(request) + "(?![\\w-])");
 		try (BufferedReader in = new BufferedReader(new InputStreamReader(open(file), StandardCharsets.UTF_8))) {
 			for (String line = in.readLine(); line != null; line = in.readLine()) {
-				if (line.contains(request)) {
+				if (name.matcher(line).find()) {
 					add(file, line);
 				}
 			}
@@ -72,13 +74,25 @@
 			String logger = event.path("loggerName").asText();
 			this.found.add(new Line(Instant.ofEpochMilli(event.path("timestamp").asLong()), process,
 					event.path("level").asText(), logger.substring(logger.lastIndexOf('.') + 1),
-					event.path("formattedMessage").asText()));
+					event.path("formattedMessage").asText() + fields(event.path("kvpList"))));
 		}
 		catch (JsonProcessingException ex) {
 			this.skipped++;
 		}
 	}
 
+	private static String fields(JsonNode pairs) {
+		StringBuilder text = new StringBuilder();
+		for (JsonNode pair : pairs) {
+			pair.fields()
+				.forEachRemaining((field) -> text.append(", ")
+					.append(field.getKey())
+					.append(' ')
+					.append(field.getValue().asText()));
+		}
+		return text.toString();
+	}
+
 	/**
 	 * Returns the lines that were found.
 	 * @return lines in order of time
@@ -102,7 +116,7 @@
 	 * @param process name of the process
 	 * @param level level
 	 * @param logger class that wrote it
-	 * @param message text
+	 * @param message text and fields
 	 */
 	record Line(Instant time, String process, String level, String logger, String message) {
 
--- a/cli/src/test/java/org/hemlockgw/cli/MainTests.java
+++ b/cli/src/test/java/org/hemlockgw/cli/MainTests.java
@@ -119,21 +119,23 @@
 	void explainsARequestFromLogs(String prefix, String otherPrefix, String first, String second) throws IOException {
 		Path file = Files.createTempFile("processes", ".log");
 		file.toFile().deleteOnExit();
-		Files.write(file,
-				List.of(otherPrefix + logLine(2000, "Exchange", "request r1: 503 after 2 ms: shard changes hands"),
-						prefix + logLine(1000, "ProgramOwner", "turn r1 continues t0"),
-						prefix + logLine(1500, "Exchange", "request r2: 404"), "request r1 {cut off"));
-		assertThat(output("explain", "r1", "--log-file", file.toString())).isEqualTo(
-				"1970-01-01T00:00:01Z  " + first + "  INFO  ProgramOwner: turn r1 continues t0\n1970-01-01T00:00:02Z  "
-						+ second + "  INFO  Exchange: request r1: 503 after 2 ms: shard changes hands\n");
+		Files.write(file, List.of(otherPrefix + logLine(2000, "RequestLog", "refused", "r1", "status", "503"),
+				prefix + logLine(1000, "ProgramOwner", "turn to continue is not found", "r1", "parent", "t0"),
+				prefix + logLine(1500, "RequestLog", "refused", "r12", "status", "404"),
+				prefix + logLine(1500, "RequestLog", "refused", "x-r1", "status", "404"), "request r1 {cut off"));
+		assertThat(output("explain", "r1", "--log-file", file.toString())).isEqualTo("1970-01-01T00:00:01Z  " + first
+				+ "  INFO  ProgramOwner: turn to continue is not found, request r1, parent t0\n"
+				+ "1970-01-01T00:00:02Z  " + second + "  INFO  RequestLog: refused, request r1, status 503\n");
 		assertThat(this.err.toString()).contains("skipped 1 lines");
 		assertThat(run("explain", "r9", "--log-file", file.toString())).isEqualTo(ExitStatus.FAILED);
 		assertThat(run("explain", "r1", "--log-file", file + ".missing")).isEqualTo(ExitStatus.INVALID);
 	}
 
-	private static String logLine(long time, String logger, String message) {
-		return "{\"timestamp\":%d,\"level\":\"INFO\",\"loggerName\":\"org.hemlockgw.gateway.%s\",\"formattedMessage\":\"%s\"}"
-			.formatted(time, logger, message);
+	private static String logLine(long time, String logger, String message, String request, String field,
+			String value) {
+		return """
+				{"timestamp":%d,"level":"INFO","loggerName":"org.hemlockgw.gateway.%s","formattedMessage":"%s",\
+				"kvpList":[{"request":"%s"},{"%s":"%s"}]}""".formatted(time, logger, message, request, field, value);
 	}
 
 	private int patch(long base, String yaml, String... more) throws IOException {
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -99,13 +99,18 @@
 			grant(server, entry);
 			return;
 		}
-		if (!hasUsableServer(request)) {
+		if (!hasUsableServer(Set.of())) {
 			answer.accept(SlotAnswer.refused(AVOID_MS, "no server"));
 			return;
 		}
+		if (!hasUsableServer(request.excluded())) {
+			answer.accept(SlotAnswer.refused(Math.round(this.averageMs), "no server is left to try"));
+			return;
+		}
 		long waitMs = expectedWaitMs(entry);
 		if (waitMs > patienceMs(request)) {
-			answer.accept(SlotAnswer.refused(waitMs, "expected wait of " + waitMs + " ms"));
+			answer.accept(SlotAnswer.refused(waitMs, "expected wait of " + waitMs + " ms with " + this.queue.size()
+					+ " waiting and " + this.grants.size() + " in flight"));
 			return;
 		}
 		this.queue.add(entry);
@@ -255,10 +260,10 @@
 		entry.answer.accept(SlotAnswer.granted(server.member));
 	}
 
-	private boolean hasUsableServer(SlotRequest request) {
+	private boolean hasUsableServer(Set<String> excluded) {
 		return this.servers.values()
 			.stream()
-			.anyMatch((server) -> !server.member.draining() && !request.excluded().contains(server.member.id()));
+			.anyMatch((server) -> !server.member.draining() && !excluded.contains(server.member.id()));
 	}
 
 	private boolean hasFreeSlot() {
--- a/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
@@ -69,16 +69,16 @@
 	}
 
 	// Guards against a request that waits for the only server, which has failed it
-	// before.
-	@Test
-	void withoutAUsableServerARequestIsRefusedAtOnce() {
-		submit("a", 0, true);
-		assertThat(this.answers.get("a")).isNotNull();
-		this.scheduler.update(List.of(member("s1", 1, false)));
-		this.scheduler.submit(request("b", 0, true, List.of(), Set.of("s1")),
-				(answer) -> this.answers.put("b", answer));
-		assertThat(this.answers.get("b")).isNotNull();
-		assertThat(server("b")).isEqualTo("none");
+	// before, and against callers that stay away longer than a full server stays full.
+	@ParameterizedTest
+	@CsvSource({ "none, 1000, no server", "draining, 1000, no server", "failed, 100, no server is left to try" })
+	void withoutAUsableServerARequestIsRefusedAtOnce(String only, long retryAfterMs, String reason) {
+		if (!only.equals("none")) {
+			this.scheduler.update(List.of(member("s1", 1, only.equals("draining"))));
+		}
+		this.scheduler.submit(request("a", 0, true, List.of(), only.equals("failed") ? Set.of("s1") : Set.of()),
+				(answer) -> this.answers.put("a", answer));
+		assertThat(this.answers.get("a")).isEqualTo(SlotAnswer.refused(retryAfterMs, reason));
 	}
 
 	// Guards against new programs that wait until they are late, while running programs
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -25,7 +25,6 @@
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.entry.CallerConnection;
 import org.hemlockgw.gateway.entry.CrashingRequests;
-import org.hemlockgw.gateway.entry.Metrics;
 import org.hemlockgw.gateway.entry.Services;
 import org.hemlockgw.gateway.entry.WireFormat;
 import org.hemlockgw.gateway.net.HttpConnections;
@@ -39,6 +38,9 @@
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.PeerService;
 import org.hemlockgw.gateway.slots.SlotClient;
+import org.hemlockgw.gateway.telemetry.LogFields;
+import org.hemlockgw.gateway.telemetry.MeasuredStore;
+import org.hemlockgw.gateway.telemetry.Metrics;
 
 /**
  * One daemon: entry, program owner and pool scheduler on one event loop.
@@ -98,14 +100,16 @@
 				settings.peers().getAddress().getHostAddress() + ":" + settings.peers().getPort(),
 				settings.dataCentre(), Long.toString(clock.millis(), Character.MAX_RADIX));
 		this.peers = new PeerLinks(loop, self.text(), System::nanoTime);
-		this.membership = new Membership(loop, store, clock, System::nanoTime, self, this.peers, this::announceChange);
+		Metrics metrics = new Metrics();
+		this.membership = new Membership(loop, new MeasuredStore(store, metrics, System::nanoTime), clock,
+				System::nanoTime, self, this.peers, this::announceChange);
 		this.copies = this.membership.copyService();
 		this.owner = new ProgramOwner(this.membership, this.peers);
 		this.slots = new SlotClient(loop, this.membership, this.peers, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wire, () -> this.routes, () -> this.draining,
 				this.membership, new OwnerClient(this.membership, this.owner, this.peers), this.slots,
 				new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime),
-				new CrashingRequests(clock, this.membership, this.peers), new Metrics());
+				new CrashingRequests(clock, this.membership, this.peers), metrics);
 	}
 
 	/**
@@ -162,7 +166,10 @@
 			return;
 		}
 		this.routes = next;
-		logger.info("configuration {} replaces {}", next.version(), (now != null) ? now.version() : "none");
+		logger.atInfo()
+			.addKeyValue(LogFields.CONFIGURATION, next.version())
+			.addKeyValue(LogFields.REASON, (now != null) ? "replaces " + now.version() : "first")
+			.log("configuration is in force");
 	}
 
 	private boolean isReady() {
@@ -173,8 +180,11 @@
 	private String metrics() {
 		Metrics counters = this.services.metrics();
 		return counters.text() + "hemlockgw_slots_in_flight " + this.slots.inFlight() + "\nhemlockgw_slots_queued "
-				+ this.slots.queued() + "\nhemlockgw_turns " + this.membership.turnCount()
-				+ "\nhemlockgw_server_connections_opened " + this.services.servers().opened() + "\n";
+				+ this.slots.queued() + "\nhemlockgw_shards " + this.membership.heldCount() + "\nhemlockgw_generation "
+				+ this.membership.generation() + "\nhemlockgw_heap_bytes "
+				+ (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) + "\nhemlockgw_turns "
+				+ this.membership.turnCount() + "\nhemlockgw_server_connections_opened "
+				+ this.services.servers().opened() + "\n";
 	}
 
 	private void announceChange() {
@@ -229,7 +239,7 @@
 
 	@Override
 	public void lost(String sender) {
-		logger.info("connection of daemon {} was lost", sender);
+		logger.atInfo().addKeyValue(LogFields.PEER, sender).log("connection of a daemon was lost");
 		this.slots.lost(sender);
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -102,6 +102,7 @@
 		}
 		if (this.current != null) {
 			if (this.waiting.size() >= MAX_PIPELINED) {
+				logger.info("closing a caller's connection: more than {} requests at once", MAX_PIPELINED);
 				request.release();
 				ctx.close();
 				return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -13,10 +13,9 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.pool.SlotAnswer;
 import org.hemlockgw.core.pool.SlotRequest;
@@ -35,8 +34,6 @@
  */
 final class Exchange {
 
-	private static final Logger logger = LoggerFactory.getLogger(Exchange.class);
-
 	/** Time in milliseconds assumed for callers that name no deadline. */
 	private static final long DEFAULT_DEADLINE_MS = 30_000;
 
@@ -71,6 +68,8 @@
 
 	private final CallerRequest call;
 
+	private final RequestLog log;
+
 	private final Set<String> excluded = new HashSet<>();
 
 	private TimeLimit time;
@@ -106,6 +105,7 @@
 		this.call = services.wire().decode(request);
 		this.time = new TimeLimit(services.nanoClock(),
 				(this.call.deadlineMs() > 0) ? this.call.deadlineMs() : DEFAULT_DEADLINE_MS);
+		this.log = new RequestLog(this.call, services.metrics(), services.nanoClock(), this.time);
 	}
 
 	FullHttpRequest request() {
@@ -130,6 +130,7 @@
 		this.route = found;
 		this.pool = found.pool(this.call.id().hashCode());
 		this.time = this.time.withLimit(Math.min(this.time.limitMs(), found.timeout().toMillis()));
+		this.log.routed(found.name(), routes.version(), this.pool, this.time);
 		this.timer = this.services.loop().schedule(this::timedOut, this.time.leftMs(), TimeUnit.MILLISECONDS);
 		if (this.services.crashing().contains(this.request)) {
 			refuse(503, 0, "servers were lost while they ran this request");
@@ -172,10 +173,12 @@
 		SlotRequest wanted = new SlotRequest(this.call.id(), this.services.membership().self().text(),
 				route().priority(), running, route().objective().toMillis(), left, this.call.prompt(),
 				Set.copyOf(this.excluded));
+		this.log.waitsForSlot();
 		this.slot = this.services.slots().acquire(this.pool, wanted, this::slotAnswered);
 	}
 
 	private void slotAnswered(SlotAnswer outcome) {
+		this.log.slotAnswered();
 		String server = outcome.server();
 		if (server == null) {
 			this.slot = null;
@@ -208,6 +211,7 @@
 
 	private void send(String server, String address) {
 		this.sends++;
+		this.log.sent(server);
 		byte[] prompt = (this.turn != null) ? this.turn.prompt() : NO_PROMPT;
 		ByteBuf input = this.request.content();
 		ByteBuf body = Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(prompt), input.retainedDuplicate());
@@ -241,7 +245,7 @@
 	private boolean answerBegins(AnswerRelay relay, HttpResponse response) {
 		BackendAnswer decoded = this.services.wire().decode(response);
 		if (decoded.requestId() != null && !decoded.requestId().equals(this.call.id())) {
-			logger.info("request {}: skipping an answer to {}", this.call.id(), decoded.requestId());
+			this.log.foreignAnswer(decoded.requestId());
 			return false;
 		}
 		relay.begin(response, decoded);
@@ -310,7 +314,7 @@
 			this.done = true;
 			cancelTimer();
 			abandonTurn();
-			this.services.metrics().count("answers_" + status);
+			this.log.answered(status, 0);
 			relay.sendWhole();
 			return;
 		}
@@ -329,8 +333,7 @@
 		}
 		this.done = true;
 		cancelTimer();
-		this.services.metrics().count("streams_complete");
-		this.services.metrics().add("stream_ms", this.time.elapsedMs());
+		this.log.answered(HttpResponseStatus.OK.code(), (this.answer != null) ? this.answer.events() : 0);
 		this.caller.channel()
 			.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
 			.addListener((written) -> this.caller.ended());
@@ -354,7 +357,7 @@
 	}
 
 	private void rejected(String server, int status) {
-		this.services.metrics().count("rejected_" + status);
+		this.log.rejected(server, status);
 		releaseSlot(0, true);
 		if (!mayTryAgain(server)) {
 			refuse(503, SERVERS_RETRY_AFTER_MS, "servers are full");
@@ -382,8 +385,7 @@
 		if (this.done) {
 			return;
 		}
-		logger.info("request {}: server {} failed, sent {}: {}", this.call.id(), server, sent, cause);
-		this.services.metrics().count(sent ? "servers_lost" : "connects_failed");
+		this.log.serverFailed(server, sent, cause);
 		releaseSlot(0, true);
 		if (!sent) {
 			this.sends--;
@@ -408,9 +410,7 @@
 		if (this.done) {
 			return;
 		}
-		logger.info("request {}: out of time after {} ms, {} sends, head sent {}, answer complete {}", this.call.id(),
-				this.time.limitMs(), this.sends, isHeadSent(), this.answerComplete);
-		this.services.metrics().count("timeouts");
+		this.log.timedOut(isHeadSent(), this.answerComplete);
 		if (this.sending != null) {
 			this.sending.abandon();
 		}
@@ -424,7 +424,7 @@
 
 	void callerLeft() {
 		if (!this.done) {
-			this.services.metrics().count("callers_left");
+			this.log.callerLeft();
 			end();
 		}
 	}
@@ -433,8 +433,7 @@
 		if (this.done) {
 			return;
 		}
-		logger.info("request {}: breaking off: {}", this.call.id(), cause);
-		this.services.metrics().count("broken_off");
+		this.log.brokenOff(cause);
 		end();
 		this.caller.channel().close();
 	}
@@ -445,10 +444,7 @@
 			return;
 		}
 		int status = (wanted == 503 && this.mayHaveRun) ? 502 : wanted;
-		this.services.metrics().count("refused_" + status);
-		if (status != 404 && status != 402) {
-			logger.info("request {}: {} after {} ms: {}", this.call.id(), status, this.time.elapsedMs(), reason);
-		}
+		this.log.refused(status, retryAfterMs, reason);
 		end();
 		this.caller.refuse(status, retryAfterMs, reason);
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -13,6 +13,7 @@
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.owner.OwnerClient;
 import org.hemlockgw.gateway.slots.SlotClient;
+import org.hemlockgw.gateway.telemetry.Metrics;
 
 /**
  * What the handling of a caller's request needs.
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnEnd.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnEnd.java
@@ -9,6 +9,7 @@
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.ReplyListener;
 import org.hemlockgw.gateway.peer.TurnStatus;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Records the end of a turn with the owner of its program. It outlives the exchange and
@@ -57,7 +58,10 @@
 	@Override
 	public void failed(String cause) {
 		if (this.time.leftMs() < 0) {
-			logger.warn("request {}: its end is not recorded: {}", this.close.record().id(), cause);
+			logger.atWarn()
+				.addKeyValue(LogFields.REQUEST, this.close.record().id())
+				.addKeyValue(LogFields.REASON, cause)
+				.log("end of a turn is not recorded");
 			return;
 		}
 		this.services.membership().refresh();
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -19,6 +19,7 @@
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Shards that this daemon holds and, as far as it knows, who holds the others.
@@ -139,6 +140,7 @@
 	}
 
 	private void join() {
+		this.health.report();
 		if (this.leaving) {
 			return;
 		}
@@ -151,7 +153,7 @@
 		this.store.join(this.self.text(), this.generation).whenComplete((assignment, error) -> {
 			this.joining = false;
 			if (error != null) {
-				logger.warn("joining failed: {}", error.getMessage());
+				logger.atWarn().addKeyValue(LogFields.REASON, error.getMessage()).log("joining failed");
 			}
 			else {
 				this.health.answered();
@@ -181,7 +183,11 @@
 		gained.removeAll(this.owned.keySet());
 		gained.forEach(this::take);
 		if (news) {
-			logger.info("generation {}: shards {}, lost {}", this.generation, assignment.shards(), lost);
+			logger.atInfo()
+				.addKeyValue(LogFields.GENERATION, this.generation)
+				.addKeyValue(LogFields.SHARDS, assignment.shards())
+				.addKeyValue(LogFields.LOST, lost)
+				.log("shards are assigned");
 			readOwners();
 		}
 		if (!lost.isEmpty()) {
@@ -243,7 +249,9 @@
 				learn(found);
 				return;
 			}
-			logger.warn("reading the holders of shards failed: {}", error.getMessage());
+			logger.atWarn()
+				.addKeyValue(LogFields.REASON, error.getMessage())
+				.log("reading the holders of shards failed");
 		});
 	}
 
@@ -262,7 +270,10 @@
 			lost.removeIf(this.holders::isSelf);
 			lost.forEach(this::drop);
 			if (!lost.isEmpty()) {
-				logger.info("generation {}: shards {} were given to others", found.generation(), lost);
+				logger.atInfo()
+					.addKeyValue(LogFields.GENERATION, found.generation())
+					.addKeyValue(LogFields.LOST, lost)
+					.log("shards were given to other daemons");
 			}
 			join();
 		}
@@ -285,7 +296,7 @@
 	 * Returns the generation of the shards that this daemon holds.
 	 * @return generation of its last join
 	 */
-	long generation() {
+	public long generation() {
 		return this.generation;
 	}
 
@@ -382,6 +393,10 @@
 		return this.self;
 	}
 
+	public int heldCount() {
+		return this.owned.size();
+	}
+
 	public int turnCount() {
 		return this.owned.values().stream().mapToInt(OwnedShard::turnCount).sum();
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -20,6 +20,7 @@
 import org.hemlockgw.core.turn.TurnRecord;
 import org.hemlockgw.core.turn.TurnShard;
 import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * A shard that this daemon holds. It answers only after the earlier writer is fenced and
@@ -87,8 +88,13 @@
 			this.loop.schedule(() -> this.awaitingCopies = false, KnownMembers.RETURN_MS, TimeUnit.MILLISECONDS);
 		}
 		int missing = merge(copies.records());
-		logger.info("shard {} is taken over with {} turns, {} records from other daemons, all asked: {}", this.number,
-				this.state.turnCount(), missing, copies.whole());
+		logger.atInfo()
+			.addKeyValue(LogFields.SHARD, this.number)
+			.addKeyValue(LogFields.EPOCH, this.writer.epoch())
+			.addKeyValue(LogFields.TURNS, this.state.turnCount())
+			.addKeyValue(LogFields.RECORDS, missing)
+			.addKeyValue(LogFields.ALL_ASKED, copies.whole())
+			.log("shard is taken over");
 	}
 
 	/**
@@ -102,7 +108,10 @@
 		}
 		int missing = merge(copies);
 		if (missing > 0) {
-			logger.info("shard {}: {} records from another daemon", this.number, missing);
+			logger.atInfo()
+				.addKeyValue(LogFields.SHARD, this.number)
+				.addKeyValue(LogFields.RECORDS, missing)
+				.log("copies from another daemon are added");
 		}
 		return true;
 	}
@@ -141,7 +150,10 @@
 		}
 		this.store.newest(this.number, after).whenComplete((page, error) -> {
 			if (error != null) {
-				logger.warn("reading shard {} failed and is repeated: {}", this.number, error.getMessage());
+				logger.atWarn()
+					.addKeyValue(LogFields.SHARD, this.number)
+					.addKeyValue(LogFields.REASON, error.getMessage())
+					.log("reading a shard failed and is repeated");
 				this.loop.schedule(() -> read(after, done), RETRY_MS, TimeUnit.MILLISECONDS);
 				return;
 			}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnerClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnerClient.java
@@ -6,6 +6,7 @@
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.ReplyListener;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Reaches the owner of a program, which is this daemon or another one.
@@ -84,7 +85,13 @@
 
 			@Override
 			public void failed(String cause) {
-				logger.info("request {}: owner of shard {}: {}", turn, shard, cause);
+				logger.atInfo()
+					.addKeyValue(LogFields.REQUEST, turn)
+					.addKeyValue(LogFields.SHARD, shard)
+					.addKeyValue(LogFields.PEER, address)
+					.addKeyValue(LogFields.GENERATION, OwnerClient.this.membership.generation())
+					.addKeyValue(LogFields.REASON, cause)
+					.log("owner does not answer");
 				replies.failed("owner does not answer");
 			}
 		});
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -18,6 +18,7 @@
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.ReplyListener;
 import org.hemlockgw.gateway.peer.TurnStatus;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Owner's side of turns: reserves, finds chains and records ends.
@@ -199,8 +200,13 @@
 
 		private void confirmed(@Nullable ShardHolders holders) {
 			boolean complete = holders != null && isConfirmed(holders);
-			logger.info("turn {} continues {}, which was not found; certain: {}", this.open.turn(), this.open.parent(),
-					complete);
+			logger.atInfo()
+				.addKeyValue(LogFields.REQUEST, this.open.turn())
+				.addKeyValue(LogFields.PROGRAM, this.open.program())
+				.addKeyValue(LogFields.PARENT, this.open.parent())
+				.addKeyValue(LogFields.GENERATION, (holders != null) ? holders.generation() : 0)
+				.addKeyValue(LogFields.ALL_ASKED, complete)
+				.log("turn to continue is not found");
 			this.reply.accept(
 					new PeerMessage.TurnOpened(complete ? TurnStatus.NO_SUCH_TURN : TurnStatus.UNCERTAIN, NO_PROMPT));
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -14,6 +14,7 @@
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
 import org.hemlockgw.core.store.StateStore;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Appends of one shard in one epoch, one call at a time. Records that arrive during a
@@ -178,14 +179,21 @@
 				return;
 			}
 			if (error != null) {
-				logger.warn("append to shard {} failed and is repeated: {}", this.shard, error.getMessage());
+				logger.atWarn()
+					.addKeyValue(LogFields.SHARD, this.shard)
+					.addKeyValue(LogFields.EPOCH, currentEpoch())
+					.addKeyValue(LogFields.REASON, error.getMessage())
+					.log("append failed and is repeated");
 				this.loop.schedule(this::send, RETRY_MS, TimeUnit.MILLISECONDS);
 				copyLater();
 				return;
 			}
 			this.health.answered();
 			if (outcome == AppendOutcome.FENCED) {
-				logger.warn("shard {} was taken from epoch {}", this.shard, this.epoch);
+				logger.atWarn()
+					.addKeyValue(LogFields.SHARD, this.shard)
+					.addKeyValue(LogFields.EPOCH, this.epoch)
+					.log("another daemon has taken the shard over");
 				this.fenced.run();
 				return;
 			}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
@@ -2,12 +2,19 @@
 
 import java.util.function.LongSupplier;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import org.hemlockgw.gateway.telemetry.LogFields;
+
 /**
  * Tells whether the store answers this daemon. It is asked several times a second, so a
  * short silence is enough.
  */
 final class StoreHealth {
 
+	private static final Logger logger = LoggerFactory.getLogger(StoreHealth.class);
+
 	/**
 	 * Time in milliseconds without an answer after which the store is away: two joins.
 	 */
@@ -19,13 +26,32 @@
 
 	private long answeredNanos;
 
+	private boolean reported;
+
 	StoreHealth(LongSupplier nanoClock) {
 		this.nanoClock = nanoClock;
 		this.answeredNanos = nanoClock.getAsLong();
 	}
 
 	void answered() {
-		this.answeredNanos = this.nanoClock.getAsLong();
+		long now = this.nanoClock.getAsLong();
+		if (this.reported) {
+			logger.atInfo()
+				.addKeyValue(LogFields.AWAY_MS, (now - this.answeredNanos) / NANOS_PER_MS)
+				.log("store answers again");
+		}
+		this.answeredNanos = now;
+		this.reported = false;
+	}
+
+	/**
+	 * Writes a line once the store is away.
+	 */
+	void report() {
+		if (!this.reported && isAway()) {
+			this.reported = true;
+			logger.atWarn().addKeyValue(LogFields.AWAY_MS, AWAY_MS).log("store does not answer");
+		}
 	}
 
 	boolean isAway() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
@@ -26,6 +26,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.gateway.net.HttpConnections;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Connections to other daemons, one for each address. A connection on which a reply is
@@ -180,7 +181,11 @@
 
 		void drop(String cause) {
 			if (PeerLinks.this.links.remove(this.address, this)) {
-				logger.info("peer {}: {}; {} requests open", this.address, cause, this.open.size());
+				logger.atInfo()
+					.addKeyValue(LogFields.PEER, this.address)
+					.addKeyValue(LogFields.REQUESTS, this.open.size())
+					.addKeyValue(LogFields.REASON, cause)
+					.log("connection to a daemon is closed");
 			}
 			if (this.connecting != null) {
 				this.connecting.channel().close();
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -24,6 +24,7 @@
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.ReplyListener;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Asks the scheduler of a pool for slots: the daemon that holds the pool's shard. If it
@@ -109,7 +110,12 @@
 			@Override
 			public void failed(String cause) {
 				if (SlotClient.this.held.contains(slot)) {
-					logger.info("request {}: scheduling here, since {}", request.id(), cause);
+					logger.atInfo()
+						.addKeyValue(LogFields.REQUEST, request.id())
+						.addKeyValue(LogFields.POOL, pool)
+						.addKeyValue(LogFields.PEER, address)
+						.addKeyValue(LogFields.REASON, cause)
+						.log("scheduling here");
 					SlotClient.this.membership.refresh();
 					slot.movedTo(null);
 					acquireHere(slot, answer);
--- /dev/null
+++ b/gateway/src/main/java/org/hemlockgw/gateway/telemetry/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Log lines and metrics.
+ */
+@NullMarked
+package org.hemlockgw.gateway.telemetry;
+
+import org.jspecify.annotations.NullMarked;
