--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.hemlockgw.gateway.entry.WireFormat;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.CopyService;
+import org.hemlockgw.gateway.owner.HedgedStore;
 import org.hemlockgw.gateway.owner.MemberName;
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.owner.OwnerClient;
@@ -101,8 +102,9 @@
 				settings.dataCentre(), Long.toString(clock.millis(), Character.MAX_RADIX));
 		this.peers = new PeerLinks(loop, self.text(), System::nanoTime);
 		Metrics metrics = new Metrics();
-		this.membership = new Membership(loop, new MeasuredStore(store, metrics, System::nanoTime), clock,
-				System::nanoTime, self, this.peers, this::announceChange);
+		StateStore hedged = new HedgedStore(loop, new MeasuredStore(store, metrics, System::nanoTime),
+				System::nanoTime);
+		this.membership = new Membership(loop, hedged, clock, System::nanoTime, self, this.peers, this::announceChange);
 		this.copies = this.membership.copyService();
 		this.owner = new ProgramOwner(this.membership, this.peers);
 		this.slots = new SlotClient(loop, this.membership, this.peers, System::nanoTime);
--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -28,6 +28,9 @@
  */
 public final class StoreServer implements AutoCloseable {
 
+	/** Time for which a connection whose answer is lost stays open. */
+	private static final Duration SILENCE = Duration.ofSeconds(20);
+
 	/** Items of one page, small so that paging is used. */
 	private static final int PAGE_ITEMS = 50;
 
@@ -100,7 +103,7 @@
 	}
 
 	/**
-	 * Breaks the connections of the next appends, which are done later.
+	 * Does the next appends later, without an answer.
 	 * @param count how many
 	 * @param delay the time until they are done
 	 */
@@ -182,14 +185,20 @@
 				this.lateAppends--;
 				CompletableFuture.delayedExecutor(this.appendDelay.toMillis(), TimeUnit.MILLISECONDS)
 					.execute(() -> append(exchange, body));
-				throw new IOException("append is late");
+				answer = null;
 			}
-			answer = append(exchange, body);
-			if (body.length > 0 && this.answersToLose > 0) {
-				this.answersToLose--;
-				throw new IOException("answer is lost");
+			else {
+				answer = append(exchange, body);
+				if (body.length > 0 && this.answersToLose > 0) {
+					this.answersToLose--;
+					answer = null;
+				}
 			}
 		}
+		if (answer == null) {
+			pause(SILENCE);
+			throw new IOException("answer is lost");
+		}
 		exchange.respond((Integer) answer.getOrDefault("status", 500), answer);
 	}
 
