Repeat joins whose answer is late, too

A join that is lost takes 800 ms to fail; two in a row are longer than the lifetime of a member, 1.2 s, so daemons that were well lost their shards.

Change: HedgedStore repeats joins as it does appends and reads.

Ruled out: a longer lifetime, which delays every take-over.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/HedgedStore.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/HedgedStore.java
@@ -21,7 +21,7 @@
  */
 public final class HedgedStore implements StateStore {
 
-	/** Calls for one append or read; with a third of the answers lost, one in 27 is. */
+	/** Calls for one result; with a third of the answers lost, one result in 27 is. */
 	private static final int MAX_CALLS = 3;
 
 	/** Times the usual time of a call after which it is repeated. */
@@ -65,12 +65,13 @@
 		return hedged(() -> this.store.newest(shard, after));
 	}
 
-	// Joins and reads of the holders are repeated several times a second anyway.
+	// A member whose joins are lost twice in a row would be taken for gone.
 	@Override
 	public CompletableFuture<ShardAssignment> join(String member, long generation) {
-		return this.store.join(member, generation);
+		return hedged(() -> this.store.join(member, generation));
 	}
 
+	// The holders are read several times a second anyway.
 	@Override
 	public CompletableFuture<ShardHolders> owners() {
 		return this.store.owners();
--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -56,6 +56,8 @@
 
 	private int lateAppends;
 
+	private int joinsToLose;
+
 	private int rotation;
 
 	public StoreServer(int partitionsPerTopic) {
@@ -94,6 +96,14 @@
 		this.answersToLose = count;
 	}
 
+	/**
+	 * Loses the next joins.
+	 * @param count how many
+	 */
+	public synchronized void loseJoins(int count) {
+		this.joinsToLose = count;
+	}
+
 	/**
 	 * Sets how much later all answers come.
 	 * @param delay the time; zero for a store at its usual speed
@@ -254,8 +264,25 @@
 		exchange.respond(200, Map.of("items", items, "has_more", rest.size() > items.size(), "end", partition.end()));
 	}
 
-	private synchronized void join(Exchange exchange) throws IOException {
-		JsonNode body = exchange.json(JsonNode.class);
+	private void join(Exchange exchange) throws IOException {
+		Map<String, Object> answer;
+		synchronized (this) {
+			if (this.joinsToLose > 0) {
+				this.joinsToLose--;
+				answer = null;
+			}
+			else {
+				answer = join(exchange.json(JsonNode.class));
+			}
+		}
+		if (answer == null) {
+			pause(SILENCE);
+			throw new IOException("answer is lost");
+		}
+		exchange.respond(200, answer);
+	}
+
+	private Map<String, Object> join(JsonNode body) {
 		String member = body.path("member").asText();
 		body.path("topics").forEach((topic) -> this.topics.add(topic.asText()));
 		long now = System.nanoTime();
@@ -270,7 +297,7 @@
 				rows.add(row);
 			}
 		});
-		exchange.respond(200, Map.of("generation", this.generation, "parts", rows));
+		return Map.of("generation", this.generation, "parts", rows);
 	}
 
 	private synchronized void leave(Exchange exchange) throws IOException {
