Log the loss of a server with the request's digest; write gauges like counters

Cause: the list of requests that crash servers changed without a line, and the metrics' text was put together by hand in Gateway.

Ruled out: a separate registry for gauges.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -180,13 +180,16 @@
 	}
 
 	private String metrics() {
-		Metrics counters = this.services.metrics();
-		return counters.text() + "hemlockgw_slots_in_flight " + this.slots.inFlight() + "\nhemlockgw_slots_queued "
-				+ this.slots.queued() + "\nhemlockgw_shards " + this.membership.heldCount() + "\nhemlockgw_generation "
-				+ this.membership.generation() + "\nhemlockgw_heap_bytes "
-				+ (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) + "\nhemlockgw_turns "
-				+ this.membership.turnCount() + "\nhemlockgw_server_connections_opened "
-				+ this.services.servers().opened() + "\n";
+		Metrics metrics = this.services.metrics();
+		Runtime runtime = Runtime.getRuntime();
+		metrics.set("slots_in_flight", this.slots.inFlight());
+		metrics.set("slots_queued", this.slots.queued());
+		metrics.set("shards", this.membership.heldCount());
+		metrics.set("generation", this.membership.generation());
+		metrics.set("turns", this.membership.turnCount());
+		metrics.set("server_connections_opened", this.services.servers().opened());
+		metrics.set("heap_bytes", runtime.totalMemory() - runtime.freeMemory());
+		return metrics.text();
 	}
 
 	private void announceChange() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
@@ -8,11 +8,14 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.retry.Suspects;
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Requests during which servers were lost, through any daemon. Requests without a body
@@ -20,6 +23,8 @@
  */
 public final class CrashingRequests {
 
+	private static final Logger logger = LoggerFactory.getLogger(CrashingRequests.class);
+
 	/**
 	 * Losses after which a request is sent to no further server; the platform allows
 	 * three retries.
@@ -64,6 +69,10 @@
 	 * @param lost the loss
 	 */
 	public void handle(PeerMessage.ServerLost lost) {
+		logger.atInfo()
+			.addKeyValue(LogFields.DIGEST, lost.digest())
+			.addKeyValue(LogFields.SERVER, lost.server())
+			.log("server was lost while it ran a request");
 		this.suspects.died(lost.digest(), lost.server(), this.clock.instant());
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/telemetry/Metrics.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/telemetry/Metrics.java
@@ -25,6 +25,15 @@
 		this.counters.merge(name, 1L, Long::sum);
 	}
 
+	/**
+	 * Sets a value that may also fall.
+	 * @param name its name
+	 * @param value the value
+	 */
+	public void set(String name, long value) {
+		this.counters.put(name, value);
+	}
+
 	/**
 	 * Records a value of a distribution.
 	 * @param name its name, with its unit at the end
--- a/gateway/src/test/java/org/hemlockgw/gateway/telemetry/MetricsTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/telemetry/MetricsTests.java
@@ -17,6 +17,7 @@
 	@ParameterizedTest
 	@CsvSource(delimiter = '|', textBlock = """
 			hemlockgw_answered{route="a"} 3
+			hemlockgw_turns 4
 			hemlockgw_wait_ms{quantile="0.5"} 50
 			hemlockgw_wait_ms{quantile="0.95"} 95
 			hemlockgw_wait_ms{quantile="0.99"} 99
@@ -25,6 +26,8 @@
 			""")
 	void countersAndDistributionsAreText(String line) {
 		IntStream.range(0, 3).forEach((i) -> this.metrics.count(Metrics.labelled("answered", "route", "a")));
+		this.metrics.set("turns", 5);
+		this.metrics.set("turns", 4);
 		IntStream.rangeClosed(1, 100).forEach((i) -> this.metrics.record("wait_ms", i));
 		assertThat(this.metrics.text().lines().toList()).contains(line);
 	}
