Mend comment lines that the formatter had broken

Cause: comments wider than the formatter's 90 columns were cut after one word. Change: comments only.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -119,8 +119,7 @@
 	}
 
 	// A program that has begun is finished; a new one that would be late is better
-	// refused
-	// while its caller can still come back in time.
+	// refused while its caller can still come back in time.
 	private static long patienceMs(SlotRequest request) {
 		return request.running() ? request.remainingMs() : Math.min(request.objectiveMs(), request.remainingMs());
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -94,8 +94,7 @@
 	}
 
 	// Setting an epoch may or may not use up a sequence number, so the records that
-	// follow
-	// have the next epoch, which may start at any number.
+	// follow have the next epoch, which may start at any number.
 	private long currentEpoch() {
 		return this.opened ? this.epoch + 1 : this.epoch;
 	}
--- a/gateway/src/test/java/org/hemlockgw/gateway/owner/MembershipTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/owner/MembershipTests.java
@@ -56,8 +56,7 @@
 	}
 
 	// Guards against a search that counts a shard which another daemon has held and
-	// filled
-	// between two joins.
+	// filled between two joins.
 	@ParameterizedTest
 	@CsvSource({ "2, true", "3, false" })
 	void shardCountsOnlyIfNobodyElseCanHaveHeldIt(long generation, boolean complete) throws Exception {
