Write the forwarding of store calls once

Change: core.store.ForwardingStore forwards them and leaves what is done around a call to its subclasses. RelayedStore stays as it is: it needs another message and decoder for each call.

Ruled out: a filter passed as a lambda; a generic method can't be one.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/HedgedStore.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/HedgedStore.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.gateway.owner;
 
-import java.util.List;
+import java.util.EnumSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -8,18 +9,14 @@
 
 import io.netty.channel.EventLoop;
 
-import org.hemlockgw.core.store.AppendOutcome;
-import org.hemlockgw.core.store.KeyedValue;
-import org.hemlockgw.core.store.NewestPage;
-import org.hemlockgw.core.store.ShardAssignment;
-import org.hemlockgw.core.store.ShardHolders;
+import org.hemlockgw.core.store.ForwardingStore;
 import org.hemlockgw.core.store.StateStore;
 
 /**
  * A store that is asked again when an answer takes much longer than usual, since answers
  * can be lost. Appends carry a number, so the store does each of them once.
  */
-public final class HedgedStore implements StateStore {
+public final class HedgedStore extends ForwardingStore {
 
 	/** Calls for one result; with a third of the answers lost, one result in 27 is. */
 	private static final int MAX_CALLS = 3;
@@ -36,50 +33,27 @@
 	/** Weight of a new sample in the average; smooths over about ten calls. */
 	private static final double SAMPLE_WEIGHT = 0.1;
 
-	private final EventLoop loop;
+	/**
+	 * Calls that are repeated. The holders are read several times a second anyway; a
+	 * member whose joins are lost twice in a row would be taken for gone.
+	 */
+	private static final Set<Call> HEDGED = EnumSet.of(Call.APPEND, Call.NEWEST, Call.JOIN);
 
-	private final StateStore store;
+	private final EventLoop loop;
 
 	private final LongSupplier nanoClock;
 
 	private double usualMs;
 
 	public HedgedStore(EventLoop loop, StateStore store, LongSupplier nanoClock) {
+		super(store);
 		this.loop = loop;
-		this.store = store;
 		this.nanoClock = nanoClock;
 	}
 
 	@Override
-	public int shardCount() {
-		return this.store.shardCount();
-	}
-
-	@Override
-	public CompletableFuture<AppendOutcome> append(int shard, long epoch, long sequence, List<KeyedValue> records) {
-		return hedged(() -> this.store.append(shard, epoch, sequence, records));
-	}
-
-	@Override
-	public CompletableFuture<NewestPage> newest(int shard, String after) {
-		return hedged(() -> this.store.newest(shard, after));
-	}
-
-	// A member whose joins are lost twice in a row would be taken for gone.
-	@Override
-	public CompletableFuture<ShardAssignment> join(String member, long generation) {
-		return hedged(() -> this.store.join(member, generation));
-	}
-
-	// The holders are read several times a second anyway.
-	@Override
-	public CompletableFuture<ShardHolders> owners() {
-		return this.store.owners();
-	}
-
-	@Override
-	public CompletableFuture<Void> leave(String member) {
-		return this.store.leave(member);
+	protected <T> CompletableFuture<T> around(Call call, Supplier<CompletableFuture<T>> forward) {
+		return HEDGED.contains(call) ? hedged(forward) : forward.get();
 	}
 
 	private <T> CompletableFuture<T> hedged(Supplier<CompletableFuture<T>> call) {
