Keep the shards that a daemon holds in a class of their own

Cause: Membership (404 lines) both followed the assignment and did the take-overs, drops and bookkeeping of shards, whose map was walked in nine places.

Change: OwnedShards takes, drops and counts shards; Membership decides which. The 2 ms between two looks of a leaving daemon is a named constant.

Ruled out: moving the joins out instead; they decide what is held.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -1,11 +1,8 @@
 package org.hemlockgw.gateway.owner;
 
 import java.time.InstantSource;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -51,23 +48,21 @@
 	 */
 	private static final long OFFER_MS = 500;
 
+	/** Interval in milliseconds at which a leaving daemon looks for open appends. */
+	private static final long LEAVE_CHECK_MS = 2;
+
 	/** Interval in milliseconds at which expired turns are dropped. */
 	private static final long EXPIRY_MS = 5000;
 
-	/** Take-overs within one generation; each uses two epochs. */
-	private static final long TAKE_OVERS_PER_GENERATION = 1000;
-
 	private final EventLoop loop;
 
 	private final RelayedStore store;
 
-	private final InstantSource clock;
-
 	private final MemberName self;
 
 	private final Runnable changed;
 
-	private final Map<Integer, OwnedShard> owned = new HashMap<>();
+	private final OwnedShards owned;
 
 	private final StoreHealth health;
 
@@ -81,8 +76,6 @@
 
 	private long generation;
 
-	private long takeOvers;
-
 	private boolean joining;
 
 	private boolean joinAgain;
@@ -106,7 +99,6 @@
 	public Membership(EventLoop loop, StateStore store, InstantSource clock, LongSupplier nanoClock, MemberName self,
 			PeerLinks peers, Runnable changed) {
 		this.loop = loop;
-		this.clock = clock;
 		this.nanoClock = nanoClock;
 		this.self = self;
 		this.changed = changed;
@@ -115,6 +107,7 @@
 		this.health = new StoreHealth(nanoClock);
 		this.copies = new Copies(peers, this.members, this.health, self, nanoClock);
 		this.store = new RelayedStore(store, peers, this.members);
+		this.owned = new OwnedShards(loop, this.store, clock, this.health, this.copies, this::refresh);
 	}
 
 	public void start() {
@@ -122,8 +115,7 @@
 		this.loop.scheduleAtFixedRate(this::readOwners, 0, OWNERS_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(() -> this.copies.offer(this.holders.byShard()), OFFER_MS, OFFER_MS,
 				TimeUnit.MILLISECONDS);
-		this.loop.scheduleAtFixedRate(() -> this.owned.values().forEach(OwnedShard::expire), EXPIRY_MS, EXPIRY_MS,
-				TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this.owned::expire, EXPIRY_MS, EXPIRY_MS, TimeUnit.MILLISECONDS);
 	}
 
 	/**
@@ -172,16 +164,12 @@
 		boolean news = assignment.generation() != this.generation;
 		boolean missedOne = assignment.generation() > this.generation + 1;
 		this.generation = assignment.generation();
-		Set<Integer> lost = new TreeSet<>(this.owned.keySet());
-		lost.removeAll(assignment.shards());
-		lost.forEach(this::drop);
+		Set<Integer> lost = this.owned.keepOnly(assignment.shards()::contains);
 		if (missedOne) {
 			// A shard may have been given to another daemon and back.
-			this.owned.values().forEach(OwnedShard::confirm);
+			this.owned.confirm();
 		}
-		Set<Integer> gained = new TreeSet<>(assignment.shards());
-		gained.removeAll(this.owned.keySet());
-		gained.forEach(this::take);
+		this.owned.takeAll(assignment.shards(), this.generation);
 		if (news) {
 			logger.atInfo()
 				.addKeyValue(LogFields.GENERATION, this.generation)
@@ -196,36 +184,13 @@
 		}
 	}
 
-	private void take(int number) {
-		long epoch = 2 * (this.generation * TAKE_OVERS_PER_GENERATION + this.takeOvers++ % TAKE_OVERS_PER_GENERATION);
-		ShardWriter writer = new ShardWriter(this.loop, this.store, this.health, this.copies, number, epoch,
-				() -> fenced(number));
-		OwnedShard shard = new OwnedShard(this.loop, this.store, this.clock, number, writer);
-		this.owned.put(number, shard);
-		shard.take((done) -> this.copies.collect(number, epoch, done));
-	}
-
-	private void fenced(int number) {
-		drop(number);
-		refresh();
-	}
-
-	private void drop(int number) {
-		OwnedShard shard = this.owned.remove(number);
-		if (shard != null) {
-			this.copies.keepOwn(number, shard.epoch(), shard.end());
-		}
-	}
-
 	/**
 	 * Gives a shard up if another daemon has taken it over.
 	 * @param number number of the shard
 	 * @param epoch epoch of its writer
 	 */
 	void giveUp(int number, long epoch) {
-		OwnedShard shard = this.owned.get(number);
-		if (shard != null && shard.epoch() < epoch) {
-			drop(number);
+		if (this.owned.dropOlder(number, epoch)) {
 			join();
 		}
 	}
@@ -266,9 +231,7 @@
 		}
 		this.members.seen(this.holders.members());
 		if (found.generation() > this.generation) {
-			Set<Integer> lost = new TreeSet<>(this.owned.keySet());
-			lost.removeIf(this.holders::isSelf);
-			lost.forEach(this::drop);
+			Set<Integer> lost = this.owned.keepOnly(this.holders::isSelf);
 			if (!lost.isEmpty()) {
 				logger.atInfo()
 					.addKeyValue(LogFields.GENERATION, found.generation())
@@ -306,13 +269,11 @@
 	 */
 	public void leave(Runnable done) {
 		this.leaving = true;
-		for (OwnedShard shard : List.copyOf(this.owned.values())) {
-			if (!shard.isIdle()) {
-				this.loop.schedule(() -> leave(done), 2, TimeUnit.MILLISECONDS);
-				return;
-			}
+		if (!this.owned.isIdle()) {
+			this.loop.schedule(() -> leave(done), LEAVE_CHECK_MS, TimeUnit.MILLISECONDS);
+			return;
 		}
-		Set.copyOf(this.owned.keySet()).forEach(this::drop);
+		this.owned.keepOnly((number) -> false);
 		this.store.leave(this.self.text()).whenComplete((ok, error) -> {
 			if (error != null) {
 				logger.warn("leaving failed: {}", error.getMessage());
@@ -323,13 +284,21 @@
 		});
 	}
 
+	/**
+	 * Returns a shard that this daemon holds and answers for.
+	 * @param shard number of the shard
+	 * @return the shard, or null
+	 */
 	@Nullable OwnedShard owned(int shard) {
-		OwnedShard found = this.owned.get(shard);
-		return (found != null && found.isReady()) ? found : null;
+		return this.owned.ready(shard);
 	}
 
+	/**
+	 * Returns the shards that this daemon holds.
+	 * @return the shards, by number
+	 */
 	Map<Integer, OwnedShard> owned() {
-		return this.owned;
+		return this.owned.byNumber();
 	}
 
 	/**
@@ -364,7 +333,7 @@
 	 * @return whether it can
 	 */
 	public boolean isSettled() {
-		return !this.holders.isEmpty() && this.owned.values().stream().allMatch(OwnedShard::isReady);
+		return !this.holders.isEmpty() && this.owned.isReady();
 	}
 
 	/**
@@ -394,11 +363,11 @@
 	}
 
 	public int heldCount() {
-		return this.owned.size();
+		return this.owned.byNumber().size();
 	}
 
 	public int turnCount() {
-		return this.owned.values().stream().mapToInt(OwnedShard::turnCount).sum();
+		return this.owned.turnCount();
 	}
 
 }
