Move the attempts at servers out of Exchange

Cause: Exchange (506 lines) joined three things: a request's course, the turn, and slots, sends and retries at servers, with their state in one list of fields. Whether a request may be sent again was spread over it.

Change: ServerAttempts takes slots, sends, judges answers and decides on another attempt; Exchange keeps the course of the request. EndListener is the part that turns and attempts have in common; the prompt is passed when the turn opens instead of being asked for later.

Ruled out: a state machine for the whole exchange, which is longer; no decision was changed.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -1,63 +1,35 @@
 package org.hemlockgw.gateway.entry;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.Objects;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
 
-import org.hemlockgw.core.pool.SlotAnswer;
-import org.hemlockgw.core.pool.SlotRequest;
 import org.hemlockgw.core.route.Pool;
 import org.hemlockgw.core.route.RequestKind;
 import org.hemlockgw.core.route.Route;
 import org.hemlockgw.core.route.RoutingTable;
-import org.hemlockgw.gateway.net.HttpCall;
-import org.hemlockgw.gateway.net.HttpListener;
 import org.hemlockgw.gateway.peer.PeerMessage;
-import org.hemlockgw.gateway.slots.Slot;
 
 /**
- * One caller's request from its arrival to its answer. A request that may not be repeated
- * is sent again only after an answer that says it did not run.
+ * One caller's request from its arrival to its answer.
  */
 final class Exchange {
 
 	/** Time in milliseconds assumed for callers that name no deadline. */
 	private static final long DEFAULT_DEADLINE_MS = 30_000;
 
-	/**
-	 * Time left in milliseconds below which a request is not sent; no server answers
-	 * faster.
-	 */
-	private static final long MIN_SEND_MS = 15;
-
 	/**
 	 * Retry-After in milliseconds before a configuration is known; a start takes under a
 	 * second.
 	 */
 	private static final long START_RETRY_AFTER_MS = 500;
 
-	/**
-	 * Retry-After in milliseconds when the servers that were tried can't take the
-	 * request; about the time of a short one.
-	 */
-	private static final long SERVERS_RETRY_AFTER_MS = 200;
-
-	/** Connections that may fail before a request is refused. */
-	private static final int MAX_CONNECT_FAILURES = 3;
-
 	private static final byte[] NO_PROMPT = {};
 
 	private final Services services;
@@ -70,30 +42,16 @@
 
 	private final RequestLog log;
 
-	private final Set<String> excluded = new HashSet<>();
-
 	private TimeLimit time;
 
-	private @Nullable Route route;
-
 	private String pool = "";
 
 	private @Nullable TurnSession turn;
 
-	private @Nullable Slot slot;
-
-	private @Nullable HttpCall sending;
-
-	private @Nullable AnswerRelay answer;
+	private @Nullable ServerAttempts attempts;
 
 	private @Nullable Future<?> timer;
 
-	private int sends;
-
-	private int connectFailures;
-
-	private boolean mayHaveRun;
-
 	private boolean answerComplete;
 
 	private boolean done;
@@ -127,22 +85,26 @@
 			refuse(400, 0, "request identifier is missing");
 			return;
 		}
-		this.route = found;
 		this.pool = found.pool(this.call.id().hashCode());
 		this.time = this.time.withLimit(Math.min(this.time.limitMs(), found.timeout().toMillis()));
 		this.log.routed(found.name(), routes.version(), this.pool, this.time);
-		this.timer = this.services.loop().schedule(this::timedOut, this.time.leftMs(), TimeUnit.MILLISECONDS);
+		PeerMessage.OpenTurn open = turn(found);
+		boolean running = this.call.previousTurn() != null || (this.call.program() != null && open == null);
+		ServerAttempts servers = new ServerAttempts(this.services, this.caller, this.request, this.call, found,
+				this.pool, running, this.time, this.log, new AttemptEvents());
+		this.attempts = servers;
+		this.timer = this.services.loop().schedule(() -> timedOut(servers), this.time.leftMs(), TimeUnit.MILLISECONDS);
 		if (this.services.crashing().contains(this.request)) {
 			refuse(503, 0, "servers were lost while they ran this request");
 			return;
 		}
-		PeerMessage.OpenTurn open = turn(found);
 		if (open == null) {
-			acquire();
+			servers.start(NO_PROMPT);
 			return;
 		}
-		this.turn = new TurnSession(this.services, open, this.time, new TurnEvents());
-		this.turn.open();
+		TurnSession session = new TurnSession(this.services, open, this.time, new TurnEvents(servers));
+		this.turn = session;
+		session.open();
 	}
 
 	private PeerMessage.@Nullable OpenTurn turn(Route found) {
@@ -156,116 +118,9 @@
 				this.call.maxTokens(), retention.toMillis());
 	}
 
-	private Route route() {
-		if (this.route == null) {
-			throw new IllegalStateException("request " + this.call.id() + " has no route yet");
-		}
-		return this.route;
-	}
-
-	private void acquire() {
-		long left = this.time.leftMs();
-		if (left < MIN_SEND_MS) {
-			refuse(503, 0, "too little time is left");
-			return;
-		}
-		boolean running = this.call.previousTurn() != null || (this.call.program() != null && this.turn == null);
-		SlotRequest wanted = new SlotRequest(this.call.id(), this.services.membership().self().text(),
-				route().priority(), running, route().objective().toMillis(), left, this.call.prompt(),
-				Set.copyOf(this.excluded));
-		this.log.waitsForSlot();
-		this.slot = this.services.slots().acquire(this.pool, wanted, this::slotAnswered);
-	}
-
-	private void slotAnswered(SlotAnswer outcome) {
-		this.log.slotAnswered();
-		String server = outcome.server();
-		if (server == null) {
-			this.slot = null;
-			refuse(503, outcome.retryAfterMs(), outcome.reason());
-			return;
-		}
-		// A slot that is granted at once is not yet assigned here.
-		this.services.loop().execute(() -> useSlot(server, outcome.address()));
-	}
-
-	private void useSlot(String server, String address) {
-		if (this.done) {
-			releaseSlot(0, false);
-		}
-		else if (this.time.leftMs() < MIN_SEND_MS) {
-			refuse(503, 0, "too little time is left");
-		}
-		else {
-			send(server, address);
-		}
-	}
-
-	private void releaseSlot(int units, boolean failed) {
-		Slot taken = this.slot;
-		this.slot = null;
-		if (taken != null) {
-			this.services.slots().release(taken, units, failed);
-		}
-	}
-
-	private void send(String server, String address) {
-		this.sends++;
-		this.log.sent(server);
-		byte[] prompt = (this.turn != null) ? this.turn.prompt() : NO_PROMPT;
-		ByteBuf input = this.request.content();
-		ByteBuf body = Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(prompt), input.retainedDuplicate());
-		HttpRequest head = this.services.wire()
-			.toServer(this.request, server, Math.max(1, this.time.leftMs()), body.readableBytes());
-		AnswerRelay relay = new AnswerRelay(this.services.wire(), this.caller, route().kind() == RequestKind.STREAMING);
-		this.answer = relay;
-		this.sending = this.services.servers().send(address, head, body, new HttpListener() {
-			@Override
-			public boolean head(HttpResponse response) {
-				return answerBegins(relay, response);
-			}
-
-			@Override
-			public void content(ByteBuf part) {
-				answerContinues(relay, part);
-			}
-
-			@Override
-			public void complete() {
-				answerEnds(server, relay);
-			}
-
-			@Override
-			public void failed(boolean sent, String cause) {
-				serverFailed(server, sent, cause);
-			}
-		});
-	}
-
-	private boolean answerBegins(AnswerRelay relay, HttpResponse response) {
-		BackendAnswer decoded = this.services.wire().decode(response);
-		if (decoded.requestId() != null && !decoded.requestId().equals(this.call.id())) {
-			this.log.foreignAnswer(decoded.requestId());
-			return false;
-		}
-		relay.begin(response, decoded);
-		return true;
-	}
-
-	private void answerContinues(AnswerRelay relay, ByteBuf part) {
-		if (this.done || relay.decoded() == null) {
-			return;
-		}
-		if (!relay.add(part)) {
-			breakOff("answer exceeds " + AnswerRelay.MAX_HELD_BYTES + " bytes");
-			return;
-		}
-		passOn(relay);
-	}
-
 	private void passOn(AnswerRelay relay) {
-		if (mayPassOn() && !relay.passOn() && this.sending != null) {
-			this.sending.pause(true);
+		if (mayPassOn() && !relay.passOn()) {
+			writable(false);
 		}
 	}
 
@@ -275,34 +130,8 @@
 	}
 
 	void writable(boolean writable) {
-		if (this.sending != null) {
-			this.sending.pause(!writable);
-		}
-	}
-
-	private void answerEnds(String server, AnswerRelay relay) {
-		this.sending = null;
-		BackendAnswer decoded = relay.decoded();
-		if (this.done || decoded == null) {
-			return;
-		}
-		if (decoded.notRun()) {
-			rejected(server, decoded.status());
-			return;
-		}
-		if (!relay.isWhole()) {
-			serverFailed(server, true, "answer without signature or end");
-			return;
-		}
-		boolean failure = decoded.status() >= 500;
-		releaseSlot(decoded.isSuccess() ? Math.max(1, relay.events()) : 0, failure);
-		this.mayHaveRun = true;
-		if (failure && route().kind().isRepeatable() && mayTryAgain(server)) {
-			return;
-		}
-		this.answerComplete = true;
-		if (!relay.isStream() || mayPassOn()) {
-			finish(relay, decoded.status());
+		if (this.attempts != null) {
+			this.attempts.pause(!writable);
 		}
 	}
 
@@ -321,33 +150,34 @@
 		passOn(relay);
 		relay.sendHead();
 		if (this.turn == null) {
-			endStream();
+			endStream(relay);
 			return;
 		}
-		this.turn.record(ByteBufUtil.getBytes(this.request.content()), relay.output(), tokens(), this::endStream);
+		this.turn.record(ByteBufUtil.getBytes(this.request.content()), relay.output(), tokens(),
+				() -> endStream(relay));
 	}
 
-	private void endStream() {
+	private void endStream(AnswerRelay relay) {
 		if (this.done) {
 			return;
 		}
 		this.done = true;
 		cancelTimer();
-		this.log.answered(HttpResponseStatus.OK.code(), (this.answer != null) ? this.answer.events() : 0);
+		this.log.answered(HttpResponseStatus.OK.code(), relay.events());
 		this.caller.channel()
 			.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
 			.addListener((written) -> this.caller.ended());
 	}
 
+	// Tokens that the caller has got.
 	private int tokens() {
+		AnswerRelay relay = (this.attempts != null) ? this.attempts.answer() : null;
+		if (relay == null || !relay.isHeadSent()) {
+			return 0;
+		}
 		RoutingTable routes = this.services.routes().get();
 		Pool served = (routes != null) ? routes.pool(this.pool) : null;
-		int perEvent = (served != null) ? Math.max(1, served.eventTokens()) : 1;
-		return isHeadSent() ? Objects.requireNonNull(this.answer).events() * perEvent : 0;
-	}
-
-	private boolean isHeadSent() {
-		return this.answer != null && this.answer.isHeadSent();
+		return relay.events() * ((served != null) ? Math.max(1, served.eventTokens()) : 1);
 	}
 
 	private void abandonTurn() {
@@ -356,69 +186,17 @@
 		}
 	}
 
-	private void rejected(String server, int status) {
-		this.log.rejected(server, status);
-		releaseSlot(0, true);
-		if (!mayTryAgain(server)) {
-			refuse(503, SERVERS_RETRY_AFTER_MS, "servers are full");
-		}
-	}
-
-	private boolean mayTryAgain(String server) {
-		this.excluded.add(server);
-		if (this.sends >= Math.max(1, route().attempts()) || this.time.leftMs() < MIN_SEND_MS) {
-			return false;
-		}
-		dropAnswer();
-		acquire();
-		return true;
-	}
-
-	private void dropAnswer() {
-		if (this.answer != null) {
-			this.answer.drop();
-		}
-	}
-
-	private void serverFailed(String server, boolean sent, String cause) {
-		this.sending = null;
-		if (this.done) {
-			return;
-		}
-		this.log.serverFailed(server, sent, cause);
-		releaseSlot(0, true);
-		if (!sent) {
-			this.sends--;
-			this.connectFailures++;
-			if (this.connectFailures >= MAX_CONNECT_FAILURES || !mayTryAgain(server)) {
-				refuse(503, SERVERS_RETRY_AFTER_MS, "no server can be reached");
-			}
-			return;
-		}
-		this.mayHaveRun = true;
-		this.services.crashing().add(this.request, server);
-		if (isHeadSent()) {
-			breakOff(cause);
-			return;
-		}
-		if (!route().kind().isRepeatable() || !mayTryAgain(server)) {
-			refuse(502, 0, "server failed");
-		}
-	}
-
-	private void timedOut() {
+	private void timedOut(ServerAttempts servers) {
 		if (this.done) {
 			return;
 		}
-		this.log.timedOut(isHeadSent(), this.answerComplete);
-		if (this.sending != null) {
-			this.sending.abandon();
-		}
-		if (isHeadSent()) {
+		this.log.timedOut(servers.isHeadSent(), this.answerComplete);
+		servers.abandon();
+		if (servers.isHeadSent()) {
 			breakOff("out of time");
 		}
 		else {
-			refuse((this.sends > 0) ? 504 : 503, 0, "out of time");
+			refuse((servers.sends() > 0) ? 504 : 503, 0, "out of time");
 		}
 	}
 
@@ -443,7 +221,8 @@
 		if (this.done) {
 			return;
 		}
-		int status = (wanted == 503 && this.mayHaveRun) ? 502 : wanted;
+		boolean mayHaveRun = this.attempts != null && this.attempts.mayHaveRun();
+		int status = (wanted == 503 && mayHaveRun) ? 502 : wanted;
 		this.log.refused(status, retryAfterMs, reason);
 		end();
 		this.caller.refuse(status, retryAfterMs, reason);
@@ -452,13 +231,9 @@
 	private void end() {
 		this.done = true;
 		cancelTimer();
-		HttpCall open = this.sending;
-		this.sending = null;
-		if (open != null) {
-			open.abort();
+		if (this.attempts != null) {
+			this.attempts.end();
 		}
-		releaseSlot(0, false);
-		dropAnswer();
 		abandonTurn();
 	}
 
@@ -468,19 +243,42 @@
 		}
 	}
 
+	/**
+	 * Ends of the exchange without an answer.
+	 */
+	private class Endings implements EndListener {
+
+		@Override
+		public void refused(int status, long retryAfterMs, String reason) {
+			refuse(status, retryAfterMs, reason);
+		}
+
+		@Override
+		public void broken(String cause) {
+			breakOff(cause);
+		}
+
+	}
+
 	/**
 	 * What the owner of the program says of the turn.
 	 */
-	private final class TurnEvents implements TurnSession.Listener {
+	private final class TurnEvents extends Endings implements TurnSession.Listener {
+
+		private final ServerAttempts servers;
+
+		TurnEvents(ServerAttempts servers) {
+			this.servers = servers;
+		}
 
 		@Override
-		public void opened() {
-			acquire();
+		public void opened(byte[] prompt) {
+			this.servers.start(prompt);
 		}
 
 		@Override
 		public void reserved() {
-			AnswerRelay relay = Exchange.this.answer;
+			AnswerRelay relay = this.servers.answer();
 			BackendAnswer decoded = (relay != null) ? relay.decoded() : null;
 			if (relay == null || decoded == null) {
 				return;
@@ -491,14 +289,24 @@
 			}
 		}
 
+	}
+
+	/**
+	 * What servers answer.
+	 */
+	private final class AttemptEvents extends Endings implements ServerAttempts.Listener {
+
 		@Override
-		public void refused(int status, long retryAfterMs, String reason) {
-			refuse(status, retryAfterMs, reason);
+		public void received(AnswerRelay relay) {
+			passOn(relay);
 		}
 
 		@Override
-		public void broken(String cause) {
-			breakOff(cause);
+		public void answered(AnswerRelay relay, int status) {
+			Exchange.this.answerComplete = true;
+			if (!relay.isStream() || mayPassOn()) {
+				finish(relay, status);
+			}
 		}
 
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
@@ -36,8 +36,6 @@
 
 	private final Listener listener;
 
-	private byte[] prompt = NOTHING;
-
 	private boolean opened;
 
 	private boolean reserved;
@@ -112,8 +110,7 @@
 			});
 			return;
 		}
-		this.prompt = chain;
-		this.listener.opened();
+		this.listener.opened(chain);
 	}
 
 	private void reservationStored(boolean stored) {
@@ -150,14 +147,6 @@
 		}
 	}
 
-	/**
-	 * Returns what the engine gets before the request's own input.
-	 * @return inputs and outputs of the turns before
-	 */
-	byte[] prompt() {
-		return this.prompt;
-	}
-
 	/**
 	 * Tells whether tokens may reach the caller.
 	 * @return whether the reservation is durable
@@ -206,27 +195,16 @@
 	/**
 	 * Learns what the owner says.
 	 */
-	interface Listener {
-
-		/** The turn may begin. */
-		void opened();
-
-		/** Tokens may reach the caller. */
-		void reserved();
+	interface Listener extends EndListener {
 
 		/**
-		 * The turn does not begin.
-		 * @param status status of the answer
-		 * @param retryAfterMs when to come back in milliseconds; 0 if not said
-		 * @param reason text of the answer
+		 * The turn may begin.
+		 * @param prompt inputs and outputs of the turns before
 		 */
-		void refused(int status, long retryAfterMs, String reason);
+		void opened(byte[] prompt);
 
-		/**
-		 * A turn that has begun can't go on.
-		 * @param cause what happened
-		 */
-		void broken(String cause);
+		/** Tokens may reach the caller. */
+		void reserved();
 
 	}
 
