--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
 
 import org.hemlockgw.standins.http.Exchange;
 import org.hemlockgw.standins.http.StandinHttpServer;
@@ -187,6 +188,14 @@
 		}
 	}
 
+	private static void respondUnlessLost(Exchange exchange, @Nullable Map<String, Object> answer) throws IOException {
+		if (answer == null) {
+			pause(SILENCE);
+			throw new IOException("answer is lost");
+		}
+		exchange.respond((Integer) answer.getOrDefault("status", 200), answer);
+	}
+
 	private void append(Exchange exchange) throws IOException {
 		byte[] body = exchange.body();
 		Map<String, Object> answer;
@@ -205,11 +214,7 @@
 				}
 			}
 		}
-		if (answer == null) {
-			pause(SILENCE);
-			throw new IOException("answer is lost");
-		}
-		exchange.respond((Integer) answer.getOrDefault("status", 500), answer);
+		respondUnlessLost(exchange, answer);
 	}
 
 	private synchronized Map<String, Object> append(Exchange exchange, byte[] body) {
@@ -275,11 +280,7 @@
 				answer = join(exchange.json(JsonNode.class));
 			}
 		}
-		if (answer == null) {
-			pause(SILENCE);
-			throw new IOException("answer is lost");
-		}
-		exchange.respond(200, answer);
+		respondUnlessLost(exchange, answer);
 	}
 
 	private Map<String, Object> join(JsonNode body) {
