Count a request as sent only if a connection to the server was made

Cause: the field "sends" was counted in RequestLog and in the attempts. The former counted failed connections, so a request that reached no server seemed to have been sent once.

Change: the attempts count and pass the number to the log.

Ruled out: leaving out the field where it is zero.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestLog.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestLog.java
@@ -63,9 +63,9 @@
 		this.metrics.record("slot_wait_ms", this.waitMs);
 	}
 
-	void sent(String target) {
+	void sent(String target, int count) {
 		this.server = target;
-		this.sends++;
+		this.sends = count;
 	}
 
 	void answered(int status, int events) {
@@ -107,7 +107,8 @@
 			.log("out of time");
 	}
 
-	void serverFailed(String target, boolean sent, String cause) {
+	void serverFailed(String target, boolean sent, int count, String cause) {
+		this.sends = count;
 		this.metrics.count(Metrics.labelled(sent ? "server_failures" : "connect_failures", "server", target));
 		line().addKeyValue(LogFields.SERVER, target)
 			.addKeyValue(LogFields.SENT, sent)
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -162,7 +162,7 @@
 
 	private void send(String server, String address) {
 		this.sends++;
-		this.log.sent(server);
+		this.log.sent(server, this.sends);
 		ByteBuf input = this.request.content();
 		ByteBuf body = Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(this.prompt), input.retainedDuplicate());
 		HttpRequest head = this.services.wire()
@@ -266,10 +266,12 @@
 		if (this.ended) {
 			return;
 		}
-		this.log.serverFailed(server, sent, cause);
-		releaseSlot(0, true);
 		if (!sent) {
 			this.sends--;
+		}
+		this.log.serverFailed(server, sent, this.sends, cause);
+		releaseSlot(0, true);
+		if (!sent) {
 			this.connectFailures++;
 			if (this.connectFailures >= MAX_CONNECT_FAILURES || !mayTryAgain(server)) {
 				this.listener.refused(503, SERVERS_RETRY_AFTER_MS, "no server can be reached");
