Count tokens of turns whose history is not stored

A route without "retain" had no retention, so createOpenTurn returned null, nothing was reserved and nothing counted ("got 5400 tokens in 31 turns; its budget is 870"). For the same reason every turn of such a program counted as one of a running program and was queued ahead of new ones, the first turn too. Change: a route has a retention and, separately, a flag whether turns are stored. A turn without stored history is opened, reserved and refused with 402 like any other; its end settles the tokens without a record, and the response does not wait for it. The owner tells with the opened turn whether the program has run before. Ruled out: telling running programs by X-Session-Id at the entry, since the turns of a program reach several daemons.

--- a/core/src/main/java/org/hemlockgw/core/route/Route.java
+++ b/core/src/main/java/org/hemlockgw/core/route/Route.java
@@ -17,10 +17,12 @@
  * @param priority priority of the requests; 0 is the highest
  * @param shares pools with their weights, at least one
  * @param maxAttempts maximum number of backend servers to which one request is sent
- * @param retention how long turns are stored; null if the route stores none
+ * @param retention how long the budgets of programs, and turns if they are stored, are
+ * retained; null if the requests are not turns of programs
+ * @param historyStored whether turns are stored, so that later turns can continue them
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, Duration timeout, Duration objective,
-		int priority, List<PoolShare> shares, int maxAttempts, @Nullable Duration retention) {
+		int priority, List<PoolShare> shares, int maxAttempts, @Nullable Duration retention, boolean historyStored) {
 
 	/**
 	 * Selects the pool for a request in proportion to the weights.
--- a/core/src/main/java/org/hemlockgw/core/turn/ProgramBudget.java
+++ b/core/src/main/java/org/hemlockgw/core/turn/ProgramBudget.java
@@ -75,6 +75,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether a turn of the program has been opened or has spent tokens.
+	 * @return false for a new program
+	 */
+	public boolean isUsed() {
+		return this.spent > 0 || !this.reservations.isEmpty();
+	}
+
 	/**
 	 * Extends the retention of this budget; never shortens it.
 	 * @param time time until which the budget is to be retained
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -46,6 +46,8 @@
 
 	private String pool = "";
 
+	private boolean historyStored;
+
 	private @Nullable TurnSession turnSession;
 
 	private @Nullable ServerAttempts serverAttempts;
@@ -89,10 +91,9 @@
 		this.deadline = this.deadline.withLimit(Math.min(this.deadline.limitMs(), route.timeout().toMillis()));
 		this.log.routed(route.name(), routes.version(), this.pool, this.deadline);
 		PeerMessage.OpenTurn openTurn = createOpenTurn(route);
-		boolean programRunning = this.callerRequest.previousTurn() != null
-				|| (this.callerRequest.program() != null && openTurn == null);
+		this.historyStored = route.historyStored();
 		ServerAttempts servers = new ServerAttempts(this.services, this.caller, this.request, this.callerRequest, route,
-				this.pool, programRunning, this.deadline, this.log, new AttemptEvents());
+				this.pool, this.deadline, this.log, new AttemptEvents());
 		this.serverAttempts = servers;
 		this.timeoutTimer = this.services.loop()
 			.schedule(() -> handleTimeout(servers), this.deadline.remainingMs(), TimeUnit.MILLISECONDS);
@@ -101,7 +102,8 @@
 			return;
 		}
 		if (openTurn == null) {
-			servers.start(NO_PROMPT);
+			// Only turns begin programs; any other request of a program follows one.
+			servers.start(NO_PROMPT, this.callerRequest.program() != null);
 			return;
 		}
 		TurnSession session = new TurnSession(this.services, openTurn, this.deadline, new TurnEvents(servers));
@@ -116,7 +118,8 @@
 			return null;
 		}
 		long budget = (this.callerRequest.tokenBudget() < 0) ? Long.MAX_VALUE / 2 : this.callerRequest.tokenBudget();
-		return new PeerMessage.OpenTurn(this.callerRequest.id(), program, this.callerRequest.previousTurn(), budget,
+		String parent = route.historyStored() ? this.callerRequest.previousTurn() : null;
+		return new PeerMessage.OpenTurn(this.callerRequest.id(), program, parent, budget,
 				this.callerRequest.maxTokens(), retention.toMillis());
 	}
 
@@ -144,14 +147,15 @@
 		if (!relay.isStream()) {
 			this.ended = true;
 			cancelTimer();
-			cancelTurn();
+			settleTurn();
 			this.log.answered(status, 0);
 			relay.sendBuffered();
 			return;
 		}
 		forward(relay);
 		relay.sendHead();
-		if (this.turnSession == null) {
+		if (this.turnSession == null || !this.historyStored) {
+			settleTurn();
 			endStream(relay);
 			return;
 		}
@@ -182,9 +186,9 @@
 		return relay.eventCount() * ((currentPool != null) ? Math.max(1, currentPool.tokensPerEvent()) : 1);
 	}
 
-	private void cancelTurn() {
+	private void settleTurn() {
 		if (this.turnSession != null) {
-			this.turnSession.cancel(sentTokens());
+			this.turnSession.settle(sentTokens());
 		}
 	}
 
@@ -236,7 +240,7 @@
 		if (this.serverAttempts != null) {
 			this.serverAttempts.cancel();
 		}
-		cancelTurn();
+		settleTurn();
 	}
 
 	private void cancelTimer() {
@@ -274,8 +278,8 @@
 		}
 
 		@Override
-		public void opened(byte[] prompt) {
-			this.servers.start(prompt);
+		public void opened(byte[] prompt, boolean programStarted) {
+			this.servers.start(prompt, programStarted || Exchange.this.callerRequest.previousTurn() != null);
 		}
 
 		@Override
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -54,8 +54,6 @@
 
 	private final String pool;
 
-	private final boolean programRunning;
-
 	private final Deadline deadline;
 
 	private final RequestLog log;
@@ -66,6 +64,8 @@
 
 	private byte[] bodyPrefix = NO_PREFIX;
 
+	private boolean programStarted;
+
 	private @Nullable Slot slot;
 
 	private @Nullable HttpCall currentCall;
@@ -88,20 +88,18 @@
 	 * @param callerRequest parsed headers of the request
 	 * @param route route of the request
 	 * @param pool name of the pool
-	 * @param programRunning whether the program of the request has already run a turn
 	 * @param deadline deadline of the request
 	 * @param log log of the request
 	 * @param listener receives responses and failures until {@link #cancel()}
 	 */
 	ServerAttempts(Services services, CallerConnection caller, FullHttpRequest request, CallerRequest callerRequest,
-			Route route, String pool, boolean programRunning, Deadline deadline, RequestLog log, Listener listener) {
+			Route route, String pool, Deadline deadline, RequestLog log, Listener listener) {
 		this.services = services;
 		this.caller = caller;
 		this.request = request;
 		this.callerRequest = callerRequest;
 		this.route = route;
 		this.pool = pool;
-		this.programRunning = programRunning;
 		this.deadline = deadline;
 		this.log = log;
 		this.listener = listener;
@@ -110,9 +108,11 @@
 	/**
 	 * Starts the first attempt.
 	 * @param prefix data that servers receive before the body of the request
+	 * @param programStarted whether the program of the request has opened a turn before
 	 */
-	void start(byte[] prefix) {
+	void start(byte[] prefix, boolean programStarted) {
 		this.bodyPrefix = prefix;
+		this.programStarted = programStarted;
 		acquire();
 	}
 
@@ -123,7 +123,7 @@
 			return;
 		}
 		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(),
-				this.route.priority(), this.programRunning, this.route.objective().toMillis(), remainingMs,
+				this.route.priority(), this.programStarted, this.route.objective().toMillis(), remainingMs,
 				this.callerRequest.prompt(), Set.copyOf(this.excludedServers));
 		this.log.slotRequested();
 		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
@@ -86,7 +86,7 @@
 
 	private void handleOpened(PeerMessage.TurnOpened reply) {
 		switch (reply.status()) {
-			case OK -> handlePrompt(reply.prompt());
+			case OK -> handleReady(reply);
 			case NOT_OWNER -> retry("shard changes hands");
 			case BUDGET_SPENT -> {
 				if (this.opened) {
@@ -101,7 +101,7 @@
 		}
 	}
 
-	private void handlePrompt(byte[] prompt) {
+	private void handleReady(PeerMessage.TurnOpened reply) {
 		if (this.opened) {
 			return;
 		}
@@ -112,7 +112,7 @@
 			});
 			return;
 		}
-		this.listener.opened(prompt);
+		this.listener.opened(reply.prompt(), reply.programStarted());
 	}
 
 	private void handleReservation(boolean stored) {
@@ -172,10 +172,11 @@
 	}
 
 	/**
-	 * Cancels the turn, unless its end is already being recorded.
+	 * Ends the turn without recording its content, unless its end is already being
+	 * recorded. Only the tokens sent to the caller are charged to the program.
 	 * @param tokens number of tokens sent to the caller
 	 */
-	void cancel(int tokens) {
+	void settle(int tokens) {
 		if (this.closed) {
 			return;
 		}
@@ -202,8 +203,9 @@
 		/**
 		 * Called when the turn may begin.
 		 * @param prompt inputs and outputs of the preceding turns
+		 * @param programStarted whether the program has opened a turn before
 		 */
-		void opened(byte[] prompt);
+		void opened(byte[] prompt, boolean programStarted);
 
 		/**
 		 * Called when tokens may be sent to the caller.
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -235,6 +235,16 @@
 		this.writer.append(records, (stored) -> logger.debug("chain of {} turns stored: {}", chain.size(), stored));
 	}
 
+	/**
+	 * Returns whether a program has opened a turn before.
+	 * @param program identifier of the program
+	 * @return false for a new program
+	 */
+	boolean isProgramStarted(String program) {
+		ProgramBudget budget = this.state.findBudget(program);
+		return budget != null && budget.isUsed();
+	}
+
 	/**
 	 * Reserves the tokens of a turn.
 	 * @param request the turn
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -33,8 +33,6 @@
 	 */
 	private static final long FIND_TIMEOUT_MS = 400;
 
-	private static final byte[] NO_PROMPT = {};
-
 	private final Membership membership;
 
 	private final PeerLinks peers;
@@ -53,7 +51,7 @@
 	public void openTurn(PeerMessage.OpenTurn request, Consumer<PeerMessage> reply) {
 		OwnedShard shard = findReadyShard(request.program());
 		if (shard == null) {
-			reply.accept(new PeerMessage.TurnOpened(TurnStatus.NOT_OWNER, NO_PROMPT));
+			reply.accept(PeerMessage.TurnOpened.refused(TurnStatus.NOT_OWNER));
 			return;
 		}
 		String parent = request.parent();
@@ -71,9 +69,10 @@
 
 	private void reserve(OwnedShard shard, PeerMessage.OpenTurn request, List<TurnRecord> chain,
 			Consumer<PeerMessage> reply) {
+		boolean programStarted = shard.isProgramStarted(request.program());
 		boolean reserved = shard.reserve(request, (stored) -> reply.accept(new PeerMessage.ReservationStored(stored)));
-		reply.accept(reserved ? new PeerMessage.TurnOpened(TurnStatus.OK, prompt(chain))
-				: new PeerMessage.TurnOpened(TurnStatus.BUDGET_SPENT, NO_PROMPT));
+		reply.accept(reserved ? new PeerMessage.TurnOpened(TurnStatus.OK, programStarted, prompt(chain))
+				: PeerMessage.TurnOpened.refused(TurnStatus.BUDGET_SPENT));
 	}
 
 	private static byte[] prompt(List<TurnRecord> chain) {
@@ -195,7 +194,7 @@
 		private void importChain(List<TurnRecord> chain) {
 			OwnedShard shard = findReadyShard(this.request.program());
 			if (shard == null) {
-				this.reply.accept(new PeerMessage.TurnOpened(TurnStatus.NOT_OWNER, NO_PROMPT));
+				this.reply.accept(PeerMessage.TurnOpened.refused(TurnStatus.NOT_OWNER));
 				return;
 			}
 			shard.importChain(chain);
@@ -211,8 +210,8 @@
 				.addKeyValue(LogFields.GENERATION, (holders != null) ? holders.generation() : 0)
 				.addKeyValue(LogFields.ALL_REPLIED, complete)
 				.log("turn to continue is not found");
-			this.reply.accept(
-					new PeerMessage.TurnOpened(complete ? TurnStatus.NO_SUCH_TURN : TurnStatus.UNCERTAIN, NO_PROMPT));
+			this.reply
+				.accept(PeerMessage.TurnOpened.refused(complete ? TurnStatus.NO_SUCH_TURN : TurnStatus.UNCERTAIN));
 		}
 
 		private boolean coversAllShards(ShardHolders holders) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -43,9 +43,10 @@
 		}, (in) -> new PeerMessage.OpenTurn(in.unpackString(), in.unpackString(), FieldCodec.readNullableString(in),
 				in.unpackLong(), in.unpackInt(), in.unpackLong()));
 		add(2, PeerMessage.TurnOpened.class, (out, opened) -> {
-			out.packInt(opened.status().ordinal());
+			out.packInt(opened.status().ordinal()).packBoolean(opened.programStarted());
 			FieldCodec.writeBytes(out, opened.prompt());
-		}, (in) -> new PeerMessage.TurnOpened(TurnStatus.values()[in.unpackInt()], FieldCodec.readBytes(in)));
+		}, (in) -> new PeerMessage.TurnOpened(TurnStatus.values()[in.unpackInt()], in.unpackBoolean(),
+				FieldCodec.readBytes(in)));
 		add(3, PeerMessage.ReservationStored.class, (out, stored) -> out.packBoolean(stored.stored()),
 				(in) -> new PeerMessage.ReservationStored(in.unpackBoolean()));
 		add(4, PeerMessage.CloseTurn.class, (out, close) -> {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -62,9 +62,12 @@
 	 * Answer to {@link OpenTurn}.
 	 *
 	 * @param status outcome
+	 * @param programStarted whether the program has opened a turn before
 	 * @param prompt concatenated inputs and outputs of the chain, oldest first
 	 */
-	record TurnOpened(TurnStatus status, byte[] prompt) implements PeerMessage {
+	record TurnOpened(TurnStatus status, boolean programStarted, byte[] prompt) implements PeerMessage {
+
+		private static final byte[] NO_PROMPT = {};
 
 		/**
 		 * Time limit in milliseconds; if the store is unavailable, it takes up to 1 s
@@ -72,6 +75,15 @@
 		 */
 		private static final long RESERVATION_TIMEOUT_MS = 1500;
 
+		/**
+		 * Creates the answer for a turn that must not run.
+		 * @param status outcome, not {@link TurnStatus#OK}
+		 * @return the answer
+		 */
+		public static TurnOpened refused(TurnStatus status) {
+			return new TurnOpened(status, false, NO_PROMPT);
+		}
+
 		@Override
 		public boolean isLastReply() {
 			return this.status != TurnStatus.OK;
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -69,7 +69,7 @@
 	static Stream<PeerMessage> messagesWithBytes() {
 		return Stream.of(new PeerMessage.TurnFound(5, List.of(1, 2), List.of(TURN)),
 				new PeerMessage.CloseTurn(TURN, true, 34),
-				new PeerMessage.TurnOpened(TurnStatus.UNCERTAIN, new byte[] { 5, 6 }));
+				new PeerMessage.TurnOpened(TurnStatus.UNCERTAIN, true, new byte[] { 5, 6 }));
 	}
 
 	@ParameterizedTest
@@ -81,7 +81,7 @@
 
 	private static List<Object> content(PeerMessage message) {
 		if (message instanceof PeerMessage.TurnOpened opened) {
-			return List.of(opened.status(), HexFormat.of().formatHex(opened.prompt()));
+			return List.of(opened.status(), opened.programStarted(), HexFormat.of().formatHex(opened.prompt()));
 		}
 		if (message instanceof PeerMessage.TurnFound found) {
 			return List.of(found.generation(), found.searchedShards(),
