Reject grants of servers that this daemon knows to be draining or removed

The store turns four VMs away from 2.5 to 11.5 s; one of them schedules the pool of the tools. It keeps its shard, since joins are relayed, but not the list of servers, so it granted i-cc8fef5df7 until 11.08 s, 2.1 s after that server was draining. Eight other daemons knew it since 8.99 s. Change: the daemon that sends a request checks the granted server against its own list and asks again without it. A server that it has never seen is accepted, since the scheduler's list may be the newer one. Ruled out: giving the shard up while the store does not answer, which moves all its programs and pools for an outage of seconds.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestLog.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestLog.java
@@ -125,6 +125,13 @@
 			.log("server did not run the request");
 	}
 
+	void grantRejected(String serverId) {
+		this.metrics.increment(Metrics.withLabel("grants_rejected", "server", serverId));
+		newLine().addKeyValue(LogFields.SERVER, serverId)
+			.addKeyValue(LogFields.REASON, "server is draining or was removed")
+			.log("grant of a slot rejected");
+	}
+
 	void mismatchedResponse(String otherRequest) {
 		newLine().addKeyValue(LogFields.REASON, "response to " + otherRequest)
 			.log("skipping the response to another request");
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -148,6 +148,13 @@
 		else if (this.deadline.remainingMs() < MIN_REMAINING_MS) {
 			this.listener.refused(503, 0, "too little time is left");
 		}
+		else if (this.services.slotClient().isWithdrawn(server)) {
+			// The scheduler's list may be old if the store does not answer its daemon.
+			this.log.grantRejected(server);
+			releaseSlot(0, true);
+			this.excludedServers.add(server);
+			acquire();
+		}
 		else {
 			send(server, address);
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -20,6 +20,7 @@
 import org.hemlockgw.core.pool.PoolScheduler;
 import org.hemlockgw.core.pool.SlotDecision;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.pool.WithdrawnServers;
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
@@ -55,6 +56,8 @@
 
 	private final Map<String, PoolScheduler> schedulers = new HashMap<>();
 
+	private final WithdrawnServers withdrawnServers = new WithdrawnServers();
+
 	private final Set<Slot> openSlots = new HashSet<>();
 
 	public SlotClient(EventLoop loop, Membership membership, PeerLinks peerLinks, LongSupplier nanoClock) {
@@ -69,12 +72,23 @@
 	 * @param servers the complete list
 	 */
 	public void updateServers(List<PoolMember> servers) {
+		this.withdrawnServers.update(servers);
 		Map<String, List<PoolMember>> byPool = new HashMap<>();
 		this.schedulers.keySet().forEach((pool) -> byPool.put(pool, new ArrayList<>()));
 		servers.forEach((member) -> byPool.computeIfAbsent(member.pool(), (pool) -> new ArrayList<>()).add(member));
 		byPool.forEach((pool, members) -> scheduler(pool).updateServers(members));
 	}
 
+	/**
+	 * Returns whether a granted server must not be used, because this daemon knows of a
+	 * newer list than the scheduler.
+	 * @param server identifier of the server
+	 * @return true if the server is draining or was removed
+	 */
+	public boolean isWithdrawn(String server) {
+		return this.withdrawnServers.contains(server);
+	}
+
 	private PoolScheduler scheduler(String pool) {
 		return this.schedulers.computeIfAbsent(pool, (name) -> new PoolScheduler(this.nanoClock));
 	}
