Join again while the response to an earlier join is missing

If all three calls of a join are lost, the next join waits for the time limit of 800 ms; with the interval of 350 ms before it that is about a member's lifetime of 1.2 s in the store, and its shards move. Change: a join delays the next one for half an interval at most. Joins are numbered, and a response is ignored once a later join has been answered, since responses may arrive in another order. Ruled out: a shorter time limit for joins, which would take a slow store for a lost one.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -36,7 +36,13 @@
 	 * Interval of joins in milliseconds: a third of the shortest lifetime of a member
 	 * that does not rejoin.
 	 */
-	private static final long JOIN_INTERVAL_MS = 350;
+	static final long JOIN_INTERVAL_MS = 350;
+
+	/**
+	 * Time in milliseconds after which a join no longer delays the next one; by then it
+	 * has been repeated and all its responses were probably lost.
+	 */
+	private static final long JOIN_PATIENCE_MS = JOIN_INTERVAL_MS / 2;
 
 	/**
 	 * Interval in milliseconds of regular reads of all shard holders; a refresh reads
@@ -86,7 +92,11 @@
 
 	private long generation;
 
-	private boolean joining;
+	private long lastJoinNumber;
+
+	private long answeredJoinNumber;
+
+	private long lastJoinNanos;
 
 	private boolean rejoinRequested;
 
@@ -147,25 +157,37 @@
 		if (this.leaving) {
 			return;
 		}
-		if (this.joining) {
+		long now = this.nanoClock.getAsLong();
+		boolean joining = this.answeredJoinNumber < this.lastJoinNumber;
+		if (joining && now - this.lastJoinNanos < TimeUnit.MILLISECONDS.toNanos(JOIN_PATIENCE_MS)) {
 			this.rejoinRequested = true;
 			return;
 		}
-		this.joining = true;
+		long number = ++this.lastJoinNumber;
+		this.lastJoinNanos = now;
 		this.rejoinRequested = false;
-		this.store.join(this.self.text(), this.generation).whenComplete((assignment, error) -> {
-			this.joining = false;
-			if (error != null) {
-				logger.atWarn().addKeyValue(LogFields.REASON, error.getMessage()).log("failed to join the group");
-			}
-			else {
-				this.health.recordAnswer();
-				apply(assignment);
-			}
-			if (this.rejoinRequested) {
-				join();
-			}
-		});
+		this.store.join(this.self.text(), this.generation)
+			.whenComplete((assignment, error) -> handleJoined(number, assignment, error));
+	}
+
+	private void handleJoined(long number, ShardAssignment assignment, @Nullable Throwable error) {
+		if (error != null) {
+			logger.atWarn().addKeyValue(LogFields.REASON, error.getMessage()).log("failed to join the group");
+		}
+		else {
+			this.health.recordAnswer();
+		}
+		if (number < this.answeredJoinNumber) {
+			// A later join has been answered; this response may be out of date.
+			return;
+		}
+		this.answeredJoinNumber = number;
+		if (error == null) {
+			apply(assignment);
+		}
+		if (this.rejoinRequested) {
+			join();
+		}
 	}
 
 	private void apply(ShardAssignment assignment) {
--- a/gateway/src/test/java/org/hemlockgw/gateway/owner/MembershipTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/owner/MembershipTests.java
@@ -3,17 +3,21 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
@@ -85,6 +89,35 @@
 		await(() -> this.store.reads > reads && this.membership.holds(0));
 	}
 
+	// Guards against a member whose lifetime ends in the store because its next join
+	// waits for one whose response was lost.
+	@ParameterizedTest
+	@ValueSource(ints = { 1, 2 })
+	void joinDoesNotWaitForLostOne(int lost) throws Exception {
+		this.store.generation = 1;
+		for (int i = 0; i < lost; i++) {
+			this.store.pendingJoins.add(new CompletableFuture<>());
+		}
+		long begin = System.nanoTime();
+		this.loop.execute(this.membership::start);
+		await(() -> this.membership.holds(0));
+		assertThat(System.nanoTime() - begin)
+			.isLessThan(TimeUnit.MILLISECONDS.toNanos((lost + 1) * Membership.JOIN_INTERVAL_MS));
+	}
+
+	// Guards against shards that are dropped because of the late response to a join that
+	// was sent before the last one.
+	@Test
+	void lateResponseToEarlierJoinIsIgnored() throws Exception {
+		this.store.generation = 1;
+		CompletableFuture<ShardAssignment> late = new CompletableFuture<>();
+		this.store.pendingJoins.add(late);
+		this.loop.execute(this.membership::start);
+		await(() -> this.membership.holds(0));
+		this.loop.submit(() -> late.complete(new ShardAssignment(1, Set.of()))).get();
+		assertThat(call(() -> this.membership.holds(0))).isTrue();
+	}
+
 	private <T> T call(Callable<T> task) throws Exception {
 		return this.loop.submit(task).get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
 	}
@@ -106,6 +139,9 @@
 
 		private volatile int reads;
 
+		// Responses to the next joins.
+		private final Queue<CompletableFuture<ShardAssignment>> pendingJoins = new ConcurrentLinkedQueue<>();
+
 		private volatile AppendOutcome nextOutcome = AppendOutcome.STORED;
 
 		private volatile CompletableFuture<AppendOutcome> pendingAppend = CompletableFuture
@@ -134,7 +170,9 @@
 
 		@Override
 		public CompletableFuture<ShardAssignment> join(String member, long known) {
-			return CompletableFuture.completedFuture(new ShardAssignment(this.generation, Set.of(0)));
+			CompletableFuture<ShardAssignment> pending = this.pendingJoins.poll();
+			return (pending != null) ? pending
+					: CompletableFuture.completedFuture(new ShardAssignment(this.generation, Set.of(0)));
 		}
 
 		@Override
