Limit responses without end and keep stray bytes away from the next request

Cause, each shown by a case of FaultyEngineTests that was red: - A copy of an earlier response without an identifier was accepted as the response to the next request on the connection ("body of r0" for r1). - Bytes behind a response that form no response yet stayed in the decoder or reached it while the connection was idle, and made the next request fail with 502. - A body without end was kept up to 16 MB for each of up to 8 requests: the heap ran out, other requests failed, and the log had OutOfMemoryError. Change: a success or rejection that names no request is not used. A connection with undecoded bytes is not reused, and is closed when bytes arrive while it is idle. The memory for responses is limited, for each one and in total, as a part of the heap; what is larger fails alone with 502, or closes a begun stream. Ruled out: waiting for another response when the identifier is missing, which holds the request to its deadline. Already sound and now covered: endless status lines, heads and events, comments instead of events (ends at the route's limit), a slow stream (complete). The stand-in names the request in its rejections too, as the protocol says.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.entry.CallerConnection;
 import org.hemlockgw.gateway.entry.CrashingRequests;
+import org.hemlockgw.gateway.entry.ResponseMemory;
 import org.hemlockgw.gateway.entry.Services;
 import org.hemlockgw.gateway.entry.WireFormat;
 import org.hemlockgw.gateway.net.HttpConnections;
@@ -118,7 +119,8 @@
 				() -> this.draining, this.membership,
 				new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
 				new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime),
-				new CrashingRequests(clock, this.membership, this.peerLinks), metrics);
+				new CrashingRequests(clock, this.membership, this.peerLinks),
+				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics);
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
@@ -14,6 +14,15 @@
  */
 public record BackendResponse(int status, @Nullable String requestId, boolean signed, boolean notRun, boolean encoded) {
 
+	/**
+	 * Returns whether the response can be attributed to a request. A success or a
+	 * rejection that names no request may be a late copy of another response.
+	 * @return false if the response must not be used
+	 */
+	public boolean isAttributable() {
+		return this.requestId != null || !(this.notRun || isSuccess());
+	}
+
 	public boolean isSuccess() {
 		return this.status >= 200 && this.status < 300;
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -170,6 +170,7 @@
 		this.ended = true;
 		cancelTimer();
 		this.log.answered(HttpResponseStatus.OK.code(), relay.eventCount());
+		relay.discard();
 		this.caller.channel()
 			.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
 			.addListener((written) -> this.caller.finishExchange());
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
@@ -17,9 +17,6 @@
  */
 final class ResponseRelay {
 
-	/** Maximum number of response bytes that are buffered. */
-	static final int MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
-
 	private static final byte[] NO_EVENT_DATA = {};
 
 	private final WireFormat wireFormat;
@@ -28,6 +25,8 @@
 
 	private final boolean streaming;
 
+	private final ResponseMemory memory;
+
 	private @Nullable HttpResponse head;
 
 	private @Nullable BackendResponse backendResponse;
@@ -36,6 +35,8 @@
 
 	private @Nullable CompositeByteBuf buffered;
 
+	private long reservedBytes;
+
 	private boolean headSent;
 
 	/**
@@ -43,11 +44,13 @@
 	 * @param wireFormat format of HTTP headers
 	 * @param caller connection to the caller
 	 * @param streaming whether the responses of the route are event streams
+	 * @param memory memory for the parts of the response that are kept
 	 */
-	ResponseRelay(WireFormat wireFormat, CallerConnection caller, boolean streaming) {
+	ResponseRelay(WireFormat wireFormat, CallerConnection caller, boolean streaming, ResponseMemory memory) {
 		this.wireFormat = wireFormat;
 		this.caller = caller;
 		this.streaming = streaming;
+		this.memory = memory;
 	}
 
 	void setHead(HttpResponse response, BackendResponse parsed) {
@@ -59,7 +62,7 @@
 	}
 
 	private static boolean isUnaltered(BackendResponse parsed) {
-		return parsed.signed() && !parsed.encoded();
+		return parsed.signed() && !parsed.encoded() && parsed.isAttributable();
 	}
 
 	/**
@@ -87,9 +90,14 @@
 	/**
 	 * Buffers a copy of a part of the body.
 	 * @param part part of the body
-	 * @return false if more than {@link #MAX_BUFFERED_BYTES} are buffered
+	 * @return false if the response is too large; the part is not buffered in that case
 	 */
 	boolean appendBody(ByteBuf part) {
+		// The data of a stream's events is kept after it was forwarded.
+		if (!this.memory.reserve(this.reservedBytes, part.readableBytes())) {
+			return false;
+		}
+		this.reservedBytes += part.readableBytes();
 		if (this.scanner != null) {
 			this.scanner.append(part);
 		}
@@ -99,7 +107,7 @@
 			this.buffered = buffer;
 		}
 		buffer.addComponent(true, Unpooled.copiedBuffer(part));
-		return buffer.readableBytes() <= MAX_BUFFERED_BYTES;
+		return true;
 	}
 
 	/**
@@ -153,6 +161,7 @@
 		response.headers().set(callerHead.headers());
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
 		this.caller.sendResponse(response);
+		discard();
 	}
 
 	int eventCount() {
@@ -164,9 +173,11 @@
 	}
 
 	/**
-	 * Releases the buffered data.
+	 * Releases the data that is kept. Must be called once the response is no longer used.
 	 */
 	void discard() {
+		this.memory.release(this.reservedBytes);
+		this.reservedBytes = 0;
 		if (this.buffered != null) {
 			this.buffered.release();
 			this.buffered = null;
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -176,7 +176,7 @@
 		HttpRequest requestHead = this.services.wireFormat()
 			.toServerRequest(this.request, server, Math.max(1, this.deadline.remainingMs()), body.readableBytes());
 		ResponseRelay relay = new ResponseRelay(this.services.wireFormat(), this.caller,
-				this.route.kind() == RequestKind.STREAMING);
+				this.route.kind() == RequestKind.STREAMING, this.services.responseMemory());
 		this.response = relay;
 		this.currentCall = this.services.serverConnections()
 			.send(address, requestHead, body, new HttpResponseListener() {
@@ -187,7 +187,7 @@
 
 				@Override
 				public void contentReceived(ByteBuf part) {
-					handleContent(relay, part);
+					handleContent(server, relay, part);
 				}
 
 				@Override
@@ -212,12 +212,16 @@
 		return true;
 	}
 
-	private void handleContent(ResponseRelay relay, ByteBuf part) {
+	private void handleContent(String server, ResponseRelay relay, ByteBuf part) {
 		if (this.cancelled || relay.backendResponse() == null) {
 			return;
 		}
 		if (!relay.appendBody(part)) {
-			this.listener.aborted("response exceeds " + ResponseRelay.MAX_BUFFERED_BYTES + " bytes");
+			HttpCall call = this.currentCall;
+			if (call != null) {
+				call.abort();
+			}
+			handleFailure(server, true, "response is larger than the memory for responses");
 			return;
 		}
 		this.listener.received(relay);
@@ -229,6 +233,10 @@
 		if (this.cancelled || parsed == null) {
 			return;
 		}
+		if (!parsed.isAttributable()) {
+			handleFailure(server, true, "response names no request");
+			return;
+		}
 		if (parsed.notRun()) {
 			handleRejection(server, parsed.status());
 			return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -29,10 +29,11 @@
  * @param slotClient client of the schedulers of pools
  * @param serverConnections connections to backend servers
  * @param crashingRequests requests during which servers were lost
+ * @param responseMemory memory for responses of backend servers
  * @param metrics metrics of this daemon
  */
 public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wireFormat,
 		Supplier<@Nullable RoutingTable> routes, BooleanSupplier draining, Membership membership,
 		OwnerClient ownerClient, SlotClient slotClient, HttpConnections serverConnections,
-		CrashingRequests crashingRequests, Metrics metrics) {
+		CrashingRequests crashingRequests, ResponseMemory responseMemory, Metrics metrics) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
@@ -30,6 +30,8 @@
 
 	private final Channel channel;
 
+	private final ResponseDecoder decoder;
+
 	private @Nullable HttpCall call;
 
 	private @Nullable HttpResponseListener listener;
@@ -50,10 +52,11 @@
 
 	private long idleSinceNanos;
 
-	HttpClientConnection(HttpConnections connections, String address, Channel channel) {
+	HttpClientConnection(HttpConnections connections, String address, Channel channel, ResponseDecoder decoder) {
 		this.connections = connections;
 		this.address = address;
 		this.channel = channel;
+		this.decoder = decoder;
 	}
 
 	void send(HttpRequest head, ByteBuf body, HttpCall nextCall, HttpResponseListener responseListener) {
@@ -178,7 +181,7 @@
 		this.listener = null;
 		this.responseStarted = false;
 		completedCall.markEnded();
-		if (this.reusable && this.channel.isActive()) {
+		if (this.reusable && this.channel.isActive() && !this.decoder.hasUndecodedBytes()) {
 			this.channel.config().setAutoRead(true);
 			this.idleSinceNanos = this.connections.nanoTime();
 			this.connections.addIdle(this.address, this);
@@ -201,6 +204,16 @@
 		}
 	}
 
+	// Bytes that arrive while no request is pending belong to no request, even if they do
+	// not form a response yet.
+	@Override
+	public void channelReadComplete(ChannelHandlerContext ctx) {
+		if (this.listener == null && this.decoder.hasUndecodedBytes()) {
+			close();
+		}
+		ctx.fireChannelReadComplete();
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
 		if (cause instanceof IOException) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
@@ -20,7 +20,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -97,9 +96,10 @@
 			.handler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
+					ResponseDecoder decoder = new ResponseDecoder();
 					channel.pipeline()
-						.addLast(new HttpRequestEncoder(), new HttpResponseDecoder(),
-								new HttpClientConnection(HttpConnections.this, address, channel));
+						.addLast(new HttpRequestEncoder(), decoder,
+								new HttpClientConnection(HttpConnections.this, address, channel, decoder));
 				}
 			})
 			.connect(target)
--- a/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -32,8 +33,21 @@
 	/** Interval of the events of an endless stream in milliseconds. */
 	private static final long EVENT_MS = 50;
 
+	/** Number of events of a slow stream. */
+	public static final int SLOW_EVENT_COUNT = 6;
+
+	/** Interval of the parts of a slow response in milliseconds. */
+	private static final long SLOW_MS = 250;
+
+	/** Delay in milliseconds of bytes that follow a complete response. */
+	private static final long LATER_MS = 50;
+
+	private static final String FILLER = "x".repeat(4000);
+
 	private final ServerSocket socket;
 
+	private final Map<Socket, String> previousRequest = new ConcurrentHashMap<>();
+
 	private final Answer answer;
 
 	private final List<String> runs = new CopyOnWriteArrayList<>();
@@ -174,10 +188,78 @@
 				return true;
 			}
 			case ENDLESS -> stream(out, request);
+			case LATE_COPY, LATE_COPY_WITHOUT_ID -> {
+				String previous = this.previousRequest.put(connection, request);
+				if (previous != null) {
+					String copy = whole(previous);
+					write(out, (this.answer == Answer.LATE_COPY) ? copy : withoutId(copy, previous));
+				}
+				write(out, whole(request));
+				return true;
+			}
+			case BYTES_AFTER -> {
+				write(out, whole(request) + "more");
+				return true;
+			}
+			case BYTES_LATER -> {
+				write(out, whole(request));
+				start(() -> writeLater(out, "more"));
+				return true;
+			}
+			case LINE_WITHOUT_END -> writeWithoutEnd(out, "", FILLER);
+			case HEAD_WITHOUT_END -> writeWithoutEnd(out, head(request), "X-Filler: " + FILLER + "\r\n");
+			case BODY_WITHOUT_END -> writeWithoutEnd(out, head(request) + "\r\n", FILLER);
+			case CHUNKS_WITHOUT_END -> writeWithoutEnd(out, head(request) + "Transfer-Encoding: chunked\r\n\r\n",
+					Integer.toHexString(FILLER.length()) + "\r\n" + FILLER + "\r\n");
+			case EVENT_WITHOUT_END ->
+				writeWithoutEnd(out, head(request) + "Content-Type: text/event-stream\r\n\r\ndata: ", FILLER);
+			case EVENTS_AT_FULL_SPEED -> writeWithoutEnd(out, head(request) + "Content-Type: text/event-stream\r\n\r\n",
+					"data: " + FILLER + "\n\n");
+			case COMMENTS -> {
+				write(out, head(request) + "Content-Type: text/event-stream\r\n\r\n");
+				writeSlowly(out, ":\n", Integer.MAX_VALUE);
+			}
+			case SLOW_EVENTS -> {
+				write(out, head(request) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
+				writeSlowly(out, "id: 1\ndata: slow\n\n", SLOW_EVENT_COUNT);
+			}
 		}
 		return false;
 	}
 
+	private static String withoutId(String response, String request) {
+		return response.replace("X-Request-Id: " + request + "\r\n", "");
+	}
+
+	private static void writeLater(OutputStream out, String text) {
+		try {
+			Thread.sleep(LATER_MS);
+			write(out, text);
+		}
+		catch (IOException | InterruptedException ex) {
+			logger.debug("late bytes were not written: {}", ex.getMessage());
+		}
+	}
+
+	private void writeWithoutEnd(OutputStream out, String begin, String repeated) throws IOException {
+		write(out, begin);
+		while (!this.socket.isClosed()) {
+			write(out, repeated);
+		}
+	}
+
+	private void writeSlowly(OutputStream out, String text, int count) throws IOException {
+		try {
+			for (int i = 0; i < count && !this.socket.isClosed(); i++) {
+				Thread.sleep(SLOW_MS);
+				write(out, text);
+			}
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("stopped", ex);
+		}
+	}
+
 	private void hold(Socket connection) throws IOException {
 		if (connection.getInputStream().read() < 0) {
 			this.brokenOffNanos.add(System.nanoTime());
@@ -261,7 +343,43 @@
 		CRASHING,
 
 		/** With events that never end. */
-		ENDLESS
+		ENDLESS,
+
+		/** Properly, but after a copy of the previous answer on the connection. */
+		LATE_COPY,
+
+		/** As {@link #LATE_COPY}; the copy names no request. */
+		LATE_COPY_WITHOUT_ID,
+
+		/** Properly, with a few bytes right behind the answer. */
+		BYTES_AFTER,
+
+		/** Properly, with a few bytes shortly after the answer. */
+		BYTES_LATER,
+
+		/** With a status line that never ends. */
+		LINE_WITHOUT_END,
+
+		/** With headers that never end. */
+		HEAD_WITHOUT_END,
+
+		/** With a body of no length that never ends. */
+		BODY_WITHOUT_END,
+
+		/** With a chunked body that never ends. */
+		CHUNKS_WITHOUT_END,
+
+		/** With a single event that never ends. */
+		EVENT_WITHOUT_END,
+
+		/** With events that never end and follow each other without a pause. */
+		EVENTS_AT_FULL_SPEED,
+
+		/** With a stream of comments and no event. */
+		COMMENTS,
+
+		/** With a complete stream that is slow. */
+		SLOW_EVENTS
 
 	}
 
--- a/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
@@ -84,6 +84,7 @@
 
 	private void handle(Exchange exchange) throws IOException {
 		String request = String.valueOf(exchange.header("X-Request-Id"));
+		exchange.setHeader("X-Request-Id", request);
 		if (!this.id.equals(exchange.header("X-Target-Instance"))) {
 			exchange.setHeader("X-Instance-Id", this.id);
 			exchange.respondError(421, "another engine");
@@ -103,7 +104,9 @@
 		if (now != Fault.UNSIGNED) {
 			exchange.setHeader("X-Server-Signature", "signature-of-" + request);
 		}
-		exchange.setHeader("X-Request-Id", (now == Fault.FOREIGN_ID) ? "another" : request);
+		if (now == Fault.FOREIGN_ID) {
+			exchange.setHeader("X-Request-Id", "another");
+		}
 		if (exchange.header("X-Token-Usage") == null) {
 			exchange.respond(200, Map.of("request", request));
 			return;
