Accept and answer callers until the balancer has noticed a planned stop

Cause: after SIGTERM idle caller connections were closed at once, also those that had just been accepted or were receiving a request, and the process ended as soon as none was left, with connections in its backlog. The balancer sends new connections for about two seconds more. Change: callers are accepted for 2.2 s after the readiness check begins to fail (0.3 of the grace period at most), each response then asks to close the connection. Afterwards the listener and idle connections are closed; a connection that is receiving a request, or was accepted in the last 300 ms and not used yet, is left until it is answered. Ruled out: closing the listener at once, which refuses what the balancer still sends.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -73,6 +74,15 @@
 	 */
 	private static final double DRAIN_FRACTION = 0.9;
 
+	/**
+	 * Time in milliseconds for which callers are still accepted after the readiness check
+	 * has begun to fail. Balancers check once a second and need two failures.
+	 */
+	private static final long READINESS_DELAY_MS = 2200;
+
+	/** Maximum of {@link #READINESS_DELAY_MS} as a fraction of the grace period. */
+	private static final double READINESS_DELAY_FRACTION = 0.3;
+
 	private final EventLoop loop;
 
 	private final GatewaySettings settings;
@@ -91,6 +101,8 @@
 
 	private final Set<CallerConnection> callerConnections = new HashSet<>();
 
+	private @Nullable Channel callerListener;
+
 	private @Nullable RoutingTable routingTable;
 
 	private boolean serverListReceived;
@@ -149,7 +161,7 @@
 	}
 
 	private void listenForCallers() {
-		new ServerBootstrap().group(this.loop)
+		this.callerListener = new ServerBootstrap().group(this.loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, 1024)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -160,7 +172,8 @@
 				}
 			})
 			.bind(this.settings.callerAddress())
-			.syncUninterruptibly();
+			.syncUninterruptibly()
+			.channel();
 	}
 
 	private void initCallerChannel(SocketChannel channel) {
@@ -168,7 +181,8 @@
 		CallerLimits limits = (current != null) ? current.limits() : CallerLimits.DEFAULT;
 		CallerConnection connection = new CallerConnection(this.services, channel);
 		channel.pipeline()
-			.addLast(new HttpServerCodec(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES),
+			.addLast(connection.byteObserver(),
+					new HttpServerCodec(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES),
 					new HttpObjectAggregator(limits.maxBodyBytes()), connection);
 		this.callerConnections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.callerConnections.remove(connection));
@@ -262,25 +276,34 @@
 	}
 
 	/**
-	 * Shuts down gracefully: reports not ready, hands over the shards and lets open
-	 * requests finish. Blocks the calling thread, which must not be the event loop's.
+	 * Shuts down gracefully: reports not ready, hands over the shards, accepts callers
+	 * until their balancer has noticed, and lets open requests finish. Blocks the calling
+	 * thread, which must not be the event loop's.
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void stop() throws InterruptedException {
 		CountDownLatch callersClosed = new CountDownLatch(1);
+		long graceMs = this.settings.shutdownGrace().toMillis();
+		long readinessDelayMs = Math.min(READINESS_DELAY_MS, (long) (graceMs * READINESS_DELAY_FRACTION));
 		this.loop.execute(() -> {
 			this.draining = true;
 			logger.info("{} is shutting down with {} open caller connections", this.settings.name(),
 					this.callerConnections.size());
 			this.membership.leave(() -> logger.info("shards were handed over"));
-			List.copyOf(this.callerConnections).forEach(CallerConnection::closeWhenIdle);
-			awaitCallersClosed(callersClosed);
+			this.loop.schedule(() -> closeCallers(callersClosed), readinessDelayMs, TimeUnit.MILLISECONDS);
 		});
-		long graceMs = this.settings.shutdownGrace().toMillis();
 		boolean finished = callersClosed.await((long) (graceMs * DRAIN_FRACTION), TimeUnit.MILLISECONDS);
 		logger.info("{} stopped, all requests ended: {}", this.settings.name(), finished);
 	}
 
+	private void closeCallers(CountDownLatch done) {
+		if (this.callerListener != null) {
+			this.callerListener.close();
+		}
+		List.copyOf(this.callerConnections).forEach(CallerConnection::closeWhenIdle);
+		awaitCallersClosed(done);
+	}
+
 	private void awaitCallersClosed(CountDownLatch callersClosed) {
 		if (this.callerConnections.isEmpty()) {
 			callersClosed.countDown();
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -35,6 +36,12 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(CallerConnection.class);
 
+	/**
+	 * Time in milliseconds after it was accepted within which the first request of a
+	 * connection is expected.
+	 */
+	private static final long FIRST_REQUEST_MS = 300;
+
 	/** Maximum number of pipelined requests that wait for the current one. */
 	private static final int MAX_PIPELINED_REQUESTS = 16;
 
@@ -46,8 +53,14 @@
 
 	private @Nullable Exchange currentExchange;
 
+	private boolean receiving;
+
+	private boolean used;
+
 	private boolean closing;
 
+	private final Deadline firstRequestLimit;
+
 	private Deadline idleLimit;
 
 	private @Nullable Future<?> idleTimer;
@@ -55,9 +68,25 @@
 	public CallerConnection(Services services, Channel channel) {
 		this.services = services;
 		this.channel = channel;
+		this.firstRequestLimit = new Deadline(services.nanoClock(), FIRST_REQUEST_MS);
 		this.idleLimit = newIdleLimit();
 	}
 
+	/**
+	 * Returns a handler for the beginning of the pipeline, which notices requests that
+	 * are not decoded yet.
+	 * @return the handler
+	 */
+	public ChannelHandler byteObserver() {
+		return new ChannelInboundHandlerAdapter() {
+			@Override
+			public void channelRead(ChannelHandlerContext ctx, Object msg) {
+				CallerConnection.this.receiving = true;
+				ctx.fireChannelRead(msg);
+			}
+		};
+	}
+
 	private Deadline newIdleLimit() {
 		RoutingTable routes = this.services.routes().get();
 		CallerLimits limits = (routes != null) ? routes.limits() : CallerLimits.DEFAULT;
@@ -80,17 +109,25 @@
 	}
 
 	/**
-	 * Closes the connection if no request is in progress. A connection in use is closed
-	 * after its last response while the daemon is draining.
+	 * Closes the connection if no request is in progress or expected. Any other
+	 * connection is closed after its last response while the daemon is draining.
 	 */
 	public void closeWhenIdle() {
-		if (this.currentExchange == null) {
-			this.channel.close();
+		if (this.currentExchange != null || this.receiving) {
+			return;
+		}
+		long remainingMs = this.firstRequestLimit.remainingMs();
+		if (!this.used && remainingMs > 0) {
+			this.services.loop().schedule(this::closeWhenIdle, remainingMs, TimeUnit.MILLISECONDS);
+			return;
 		}
+		this.channel.close();
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object msg) {
+		this.receiving = false;
+		this.used = true;
 		if (!(msg instanceof FullHttpRequest request) || this.closing) {
 			ReferenceCountUtil.release(msg);
 			return;
