--- a/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import org.jspecify.annotations.Nullable;
+
 import org.hemlockgw.standins.http.Exchange;
 import org.hemlockgw.standins.http.StandinHttpServer;
 
@@ -97,7 +99,8 @@
 			return;
 		}
 		String body = new String(exchange.body(), StandardCharsets.UTF_8);
-		this.runs.add(new Run(request, body));
+		int lastEvent = parseEventId(exchange.header("Last-Event-Id"));
+		this.runs.add(new Run(request, body, lastEvent));
 		if (now == Fault.ANSWER_LOST) {
 			throw new IOException("answer is lost");
 		}
@@ -112,21 +115,34 @@
 			return;
 		}
 		exchange.respondEvents((out) -> {
-			for (int event = 1; event <= this.events; event++) {
+			for (int event = lastEvent + 1; event <= this.events; event++) {
 				pause();
+				if (now == Fault.CUT_IN_EVENT && event == 2) {
+					out.write(("id: " + event + "\ndata: " + request).getBytes(StandardCharsets.UTF_8));
+					out.flush();
+					cut();
+				}
 				out.write(("id: " + event + "\ndata: " + request + "-" + event + "\n\n")
 					.getBytes(StandardCharsets.UTF_8));
 				out.flush();
 				if (now == Fault.CUT && event == 1) {
-					// Closing the answer would end it as if it were whole.
-					this.server.stop();
-					this.server.start();
-					throw new IOException("cut");
+					cut();
 				}
 			}
 		});
 	}
 
+	// Closing the answer would end it as if it were whole.
+	private void cut() throws IOException {
+		this.server.stop();
+		this.server.start();
+		throw new IOException("cut");
+	}
+
+	private static int parseEventId(@Nullable String header) {
+		return (header != null) ? Integer.parseInt(header) : 0;
+	}
+
 	private void pause() throws IOException {
 		try {
 			Thread.sleep(this.pauseMs);
@@ -173,6 +189,9 @@
 		/** The stream ends after its first event. */
 		CUT,
 
+		/** The stream ends within its second event. */
+		CUT_IN_EVENT,
+
 		/** The answer names another request. */
 		FOREIGN_ID,
 
@@ -186,8 +205,9 @@
 	 *
 	 * @param request its identifier
 	 * @param body its body
+	 * @param lastEvent event after which its stream resumes; 0 for a whole stream
 	 */
-	public record Run(String request, String body) {
+	public record Run(String request, String body, int lastEvent) {
 
 	}
 
