Refuse new programs while requests of started ones wait for slots

Cause: in a flood first turns were admitted by the queue at their arrival, but a program brings many more requests after its first one, so all programs became late together; first turns also waited up to their whole objective and were refused then. Change: the first turn of a program is refused at once, with a Retry-After spread over 0.4 s, while requests of started programs wait for more than a quarter of a request's duration on average and fewer than a fifth of the slots are free; it waits for a quarter of its objective at most. Requests of programs that are late already go behind the others. Overdue requests are refused at each release, not only each 50 ms. Ruled out: a limit on the number of programs, which differ in length by ten times.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -52,6 +52,18 @@
 	/** Time during which a server is avoided after a failed request, in milliseconds. */
 	private static final long FAILURE_COOLDOWN_MS = 1000;
 
+	/**
+	 * Longest time that the first request of a program waits for a slot, as a fraction of
+	 * its objective.
+	 */
+	private static final double NEW_PROGRAM_WAIT_FRACTION = 0.25;
+
+	/**
+	 * Fraction of the slots of a pool that must be free for new programs to be taken
+	 * regardless of how long others waited before.
+	 */
+	private static final double SPARE_SLOTS_FRACTION = 0.2;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final LongSupplier nanoClock;
@@ -62,11 +74,14 @@
 
 	private final TreeSet<QueueEntry> queue = new TreeSet<>(
 			Comparator.comparing((QueueEntry entry) -> !entry.request.programStarted())
+				.thenComparing((entry) -> entry.request.programRemainingMs() < 0)
 				.thenComparingInt((entry) -> entry.request.priority())
 				.thenComparingLong((entry) -> entry.sequence));
 
 	private final Map<String, QueueEntry> entriesById = new HashMap<>();
 
+	private final WaitBasedAdmission admission;
+
 	private double averageDurationMs = INITIAL_DURATION_MS;
 
 	private long sequence;
@@ -77,6 +92,7 @@
 	 */
 	public PoolScheduler(LongSupplier nanoClock) {
 		this.nanoClock = nanoClock;
+		this.admission = new WaitBasedAdmission(nanoClock);
 	}
 
 	/**
@@ -109,6 +125,12 @@
 	public void submit(SlotRequest request, Consumer<SlotDecision> answer) {
 		long now = this.nanoClock.getAsLong();
 		QueueEntry entry = new QueueEntry(request, answer, now, ++this.sequence);
+		if (isNewProgram(request) && !hasSpareSlots() && !this.admission.isOpen(this.averageDurationMs)) {
+			answer.accept(
+					SlotDecision.refused(this.admission.retryAfterMs(request.id()), "started programs wait for slots, "
+							+ this.queue.size() + " waiting and " + this.grants.size() + " in flight"));
+			return;
+		}
 		Server server = this.queue.isEmpty() ? selectServer(request) : null;
 		if (server != null) {
 			grant(server, entry);
@@ -133,12 +155,21 @@
 		grantQueuedRequests();
 	}
 
+	// Only turns of programs have a prompt.
+	private static boolean isNewProgram(SlotRequest request) {
+		return !request.programStarted() && !request.prompt().isEmpty();
+	}
+
 	// A program that has already started is to be completed, so its requests may wait
-	// until their deadline. A new program that would miss its objective is refused early,
-	// while its caller still has time to retry.
+	// until their deadline. A new program is refused early, while its caller still has
+	// time to return within the objective.
 	private static long maxWaitMs(SlotRequest request) {
-		return request.programStarted() ? request.remainingMs()
-				: Math.min(request.objectiveMs(), request.remainingMs());
+		if (request.programStarted()) {
+			return request.remainingMs();
+		}
+		long objectiveMs = isNewProgram(request) ? Math.round(NEW_PROGRAM_WAIT_FRACTION * request.objectiveMs())
+				: request.objectiveMs();
+		return Math.min(objectiveMs, request.remainingMs());
 	}
 
 	private long expectedWaitMs(QueueEntry entry) {
@@ -228,17 +259,6 @@
 	 */
 	public void expireOverdue() {
 		long now = this.nanoClock.getAsLong();
-		List<QueueEntry> overdue = new ArrayList<>();
-		for (QueueEntry entry : this.queue) {
-			long waitedMs = (now - entry.enqueuedAtNanos) / NANOS_PER_MS;
-			if (waitedMs > maxWaitMs(entry.request)) {
-				overdue.add(entry);
-			}
-		}
-		for (QueueEntry entry : overdue) {
-			cancel(entry.request.id());
-			entry.answer.accept(SlotDecision.refused(Math.round(this.averageDurationMs), "waited too long for a slot"));
-		}
 		Iterator<Grant> iterator = this.grants.values().iterator();
 		while (iterator.hasNext()) {
 			Grant grant = iterator.next();
@@ -258,7 +278,23 @@
 		return this.queue.size();
 	}
 
+	private void refuseOverdue() {
+		long now = this.nanoClock.getAsLong();
+		List<QueueEntry> overdue = new ArrayList<>();
+		for (QueueEntry entry : this.queue) {
+			long waitedMs = (now - entry.enqueuedAtNanos) / NANOS_PER_MS;
+			if (waitedMs >= maxWaitMs(entry.request)) {
+				overdue.add(entry);
+			}
+		}
+		for (QueueEntry entry : overdue) {
+			cancel(entry.request.id());
+			entry.answer.accept(SlotDecision.refused(Math.round(this.averageDurationMs), "waited too long for a slot"));
+		}
+	}
+
 	private void grantQueuedRequests() {
+		refuseOverdue();
 		Iterator<QueueEntry> iterator = List.copyOf(this.queue).iterator();
 		while (iterator.hasNext() && hasFreeSlot()) {
 			QueueEntry entry = iterator.next();
@@ -271,6 +307,9 @@
 	}
 
 	private void grant(Server server, QueueEntry entry) {
+		if (entry.request.programStarted()) {
+			this.admission.recordWait((this.nanoClock.getAsLong() - entry.enqueuedAtNanos) / (double) NANOS_PER_MS);
+		}
 		server.inFlight++;
 		server.cache.markCached(entry.request.prompt());
 		this.grants.put(entry.request.id(), new Grant(server, entry.request, this.nanoClock.getAsLong()));
@@ -283,6 +322,18 @@
 			.anyMatch((server) -> !server.member.draining() && !excluded.contains(server.member.id()));
 	}
 
+	private boolean hasSpareSlots() {
+		int slots = 0;
+		int inFlight = 0;
+		for (Server server : this.servers.values()) {
+			if (!server.member.draining()) {
+				slots += server.member.slots();
+				inFlight += server.inFlight;
+			}
+		}
+		return slots - inFlight > SPARE_SLOTS_FRACTION * slots;
+	}
+
 	private boolean hasFreeSlot() {
 		return this.servers.values()
 			.stream()
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
@@ -10,11 +10,13 @@
  * @param holder daemon that will use the slot
  * @param priority priority of the request; 0 is the highest
  * @param programStarted whether the program has already run a turn
+ * @param programRemainingMs time in milliseconds until the whole program is late;
+ * negative if it is late already, {@link Long#MAX_VALUE} if unknown
  * @param objectiveMs latency objective of the request in milliseconds
  * @param remainingMs time until the caller's deadline in milliseconds
  * @param prompt parts of the prompt in order; empty for a plain service
  * @param excluded servers that have already failed this request
  */
-public record SlotRequest(String id, String holder, int priority, boolean programStarted, long objectiveMs,
-		long remainingMs, List<PromptPart> prompt, Set<String> excluded) {
+public record SlotRequest(String id, String holder, int priority, boolean programStarted, long programRemainingMs,
+		long objectiveMs, long remainingMs, List<PromptPart> prompt, Set<String> excluded) {
 }
--- a/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
@@ -54,6 +54,38 @@
 			.inOrder();
 	}
 
+	// Guards against programs that become late because they wait behind others that are
+	// late already.
+	@Test
+	void lateProgramsAreServedBehindOthers() {
+		this.scheduler.updateServers(List.of(member("s1", 1, false)));
+		submit("first", 0, true);
+		submit("new", 0, false);
+		submitWithProgramTime("late", -1);
+		submitWithProgramTime("in-time", 1);
+		submitWithProgramTime("unknown", Long.MAX_VALUE);
+		for (String completed : List.of("first", "in-time", "unknown", "late")) {
+			this.scheduler.release(completed, 1, false);
+		}
+		assertThat(this.granted).containsExactly("first", "in-time", "unknown", "late", "new").inOrder();
+	}
+
+	// Guards against new programs that wait for a slot until nothing is left of their
+	// objective of 250 ms.
+	@ParameterizedTest
+	@CsvSource({ "true, 61, true", "true, 63, false", "false, 249, true", "false, 251, false" })
+	void newProgramWaitsForQuarterOfObjective(boolean turn, long waitedMs, boolean waiting) {
+		this.scheduler.updateServers(List.of(member("s1", 20, false)));
+		for (int i = 0; i < 20; i++) {
+			submit("a" + i, 0, true);
+		}
+		List<PromptPart> prompt = turn ? List.of(new PromptPart("p", 10)) : List.of();
+		this.scheduler.submit(request("new", 0, false, prompt, Set.of()), (answer) -> this.answers.put("new", answer));
+		this.nowMs += waitedMs;
+		this.scheduler.expireOverdue();
+		assertThat(this.answers.containsKey("new")).isEqualTo(!waiting);
+	}
+
 	// Guards against sending new or queued requests to servers that are draining or no
 	// longer listed.
 	@ParameterizedTest
@@ -167,8 +199,17 @@
 		assertThat(this.granted).containsExactly("b");
 	}
 
+	private void submitWithProgramTime(String id, long programRemainingMs) {
+		submit(new SlotRequest(id, "daemon", 0, true, programRemainingMs, 250, 3000, List.of(), Set.of()));
+	}
+
 	private void submit(String id, int priority, boolean running) {
-		this.scheduler.submit(request(id, priority, running, List.of(), Set.of()), (answer) -> {
+		submit(request(id, priority, running, List.of(), Set.of()));
+	}
+
+	private void submit(SlotRequest request) {
+		String id = request.id();
+		this.scheduler.submit(request, (answer) -> {
 			this.answers.put(id, answer);
 			if (answer.serverId() != null) {
 				this.granted.add(id);
@@ -183,7 +224,7 @@
 
 	private static SlotRequest request(String id, int priority, boolean running, List<PromptPart> prompt,
 			Set<String> excluded) {
-		return new SlotRequest(id, "daemon", priority, running, 250, 3000, prompt, excluded);
+		return new SlotRequest(id, "daemon", priority, running, Long.MAX_VALUE, 250, 3000, prompt, excluded);
 	}
 
 	private static PoolMember member(String id, int slots, boolean draining) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
@@ -15,8 +15,8 @@
  * @param deadlineMs time in milliseconds that the caller waits for a response; 0 if not
  * given
  * @param program identifier of the program that the request belongs to; null for none
- * @param programDeadlineMs remaining time of the whole program in milliseconds; 0 if not
- * given
+ * @param programDeadlineMs time in milliseconds until the whole program is late;
+ * {@link Long#MAX_VALUE} if not given
  * @param tokenBudget maximum number of tokens that the program may generate; negative if
  * not given
  * @param maxTokens maximum number of tokens that this turn generates
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -123,12 +123,17 @@
 			return;
 		}
 		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(),
-				this.route.priority(), this.programStarted, this.route.objective().toMillis(), remainingMs,
-				this.callerRequest.prompt(), Set.copyOf(this.excludedServers));
+				this.route.priority(), this.programStarted, programRemainingMs(), this.route.objective().toMillis(),
+				remainingMs, this.callerRequest.prompt(), Set.copyOf(this.excludedServers));
 		this.log.slotRequested();
 		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
 	}
 
+	private long programRemainingMs() {
+		long givenMs = this.callerRequest.programDeadlineMs();
+		return (givenMs == Long.MAX_VALUE) ? givenMs : givenMs - this.deadline.elapsedMs();
+	}
+
 	private void handleSlotAnswer(SlotDecision outcome) {
 		this.log.slotAnswered();
 		String server = outcome.serverId();
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
@@ -63,7 +63,8 @@
 
 	static void writeSlotRequest(MessagePacker out, SlotRequest request) throws IOException {
 		out.packString(request.id()).packString(request.holder()).packInt(request.priority());
-		out.packBoolean(request.programStarted()).packLong(request.objectiveMs()).packLong(request.remainingMs());
+		out.packBoolean(request.programStarted()).packLong(request.programRemainingMs());
+		out.packLong(request.objectiveMs()).packLong(request.remainingMs());
 		out.packArrayHeader(request.prompt().size());
 		for (PromptPart part : request.prompt()) {
 			out.packString(part.id()).packInt(part.tokens());
@@ -78,7 +79,8 @@
 		String id = in.unpackString();
 		String holder = in.unpackString();
 		int priority = in.unpackInt();
-		boolean running = in.unpackBoolean();
+		boolean programStarted = in.unpackBoolean();
+		long programRemainingMs = in.unpackLong();
 		long objectiveMs = in.unpackLong();
 		long remainingMs = in.unpackLong();
 		List<PromptPart> prompt = new ArrayList<>();
@@ -89,7 +91,8 @@
 		for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
 			excluded.add(in.unpackString());
 		}
-		return new SlotRequest(id, holder, priority, running, objectiveMs, remainingMs, prompt, excluded);
+		return new SlotRequest(id, holder, priority, programStarted, programRemainingMs, objectiveMs, remainingMs,
+				prompt, excluded);
 	}
 
 	static void writeSlotAnswer(MessagePacker out, @Nullable SlotDecision answer) throws IOException {
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -32,7 +32,7 @@
 	private static final TurnRecord TURN = new TurnRecord("t1", "p1", "t0", new byte[] { 1, 2 }, new byte[] { 3 },
 			Instant.ofEpochMilli(123_456), Duration.ofSeconds(60));
 
-	private static final SlotRequest REQUEST = new SlotRequest("r1", "d1", 1, true, 250, 3000,
+	private static final SlotRequest REQUEST = new SlotRequest("r1", "d1", 1, true, -40, 250, 3000,
 			List.of(new PromptPart("ab", 512)), Set.of("s1"));
 
 	static Stream<PeerMessage> messages() {
