--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -38,12 +38,6 @@
 	 */
 	static final long JOIN_INTERVAL_MS = 350;
 
-	/**
-	 * Time in milliseconds after which a join no longer delays the next one; by then it
-	 * has been repeated and all its responses were probably lost.
-	 */
-	private static final long JOIN_PATIENCE_MS = JOIN_INTERVAL_MS / 2;
-
 	/**
 	 * Interval in milliseconds of regular reads of all shard holders; a refresh reads
 	 * them earlier.
@@ -92,11 +86,7 @@
 
 	private long generation;
 
-	private long lastJoinNumber;
-
-	private long answeredJoinNumber;
-
-	private long lastJoinNanos;
+	private final JoinSequence joins;
 
 	private boolean rejoinRequested;
 
@@ -120,6 +110,7 @@
 			PeerLinks peers, Runnable onShardsLost) {
 		this.loop = loop;
 		this.nanoClock = nanoClock;
+		this.joins = new JoinSequence(nanoClock, JOIN_INTERVAL_MS / 2);
 		this.self = self;
 		this.onShardsLost = onShardsLost;
 		this.members = new KnownMembers(self, nanoClock);
@@ -157,14 +148,11 @@
 		if (this.leaving) {
 			return;
 		}
-		long now = this.nanoClock.getAsLong();
-		boolean joining = this.answeredJoinNumber < this.lastJoinNumber;
-		if (joining && now - this.lastJoinNanos < TimeUnit.MILLISECONDS.toNanos(JOIN_PATIENCE_MS)) {
+		if (this.joins.isPending()) {
 			this.rejoinRequested = true;
 			return;
 		}
-		long number = ++this.lastJoinNumber;
-		this.lastJoinNanos = now;
+		long number = this.joins.begin();
 		this.rejoinRequested = false;
 		this.store.join(this.self.text(), this.generation)
 			.whenComplete((assignment, error) -> handleJoined(number, assignment, error));
@@ -177,11 +165,9 @@
 		else {
 			this.health.recordAnswer();
 		}
-		if (number < this.answeredJoinNumber) {
-			// A later join has been answered; this response may be out of date.
+		if (!this.joins.end(number)) {
 			return;
 		}
-		this.answeredJoinNumber = number;
 		if (error == null) {
 			apply(assignment);
 		}
