Prefer servers to which a connection is open

Servers and their estimates move from PoolScheduler to PoolServer and PoolServers. Measured: PoolSchedulerTests.connectedServerIsPreferredUnlessItIsBusier. The gain is small: the fastest servers are chosen anyway, and connections expire between two uses.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -31,18 +30,6 @@
 	 */
 	private static final double INITIAL_DURATION_MS = 100;
 
-	/**
-	 * Fraction by which requests on a full server take longer than on an idle one. It
-	 * corresponds to the growth of a batched decode step.
-	 */
-	private static final double FULL_LOAD_SLOWDOWN = 0.25;
-
-	/**
-	 * Prompt tokens that an engine prefills per millisecond, as stated in the engine data
-	 * sheet.
-	 */
-	private static final double PREFILL_TOKENS_PER_MS = 164;
-
 	/**
 	 * Time after the caller's deadline at which an unreleased grant expires, in
 	 * milliseconds.
@@ -58,17 +45,11 @@
 	 */
 	private static final double NEW_PROGRAM_WAIT_FRACTION = 0.25;
 
-	/**
-	 * Fraction of the slots of a pool that must be free for new programs to be taken
-	 * regardless of how long others waited before.
-	 */
-	private static final double SPARE_SLOTS_FRACTION = 0.2;
-
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final LongSupplier nanoClock;
 
-	private final Map<String, Server> servers = new HashMap<>();
+	private final PoolServers servers = new PoolServers();
 
 	private final Map<String, Grant> grants = new HashMap<>();
 
@@ -101,18 +82,7 @@
 	 * @param members servers of this pool
 	 */
 	public void updateServers(List<PoolMember> members) {
-		Set<String> memberIds = new HashSet<>();
-		for (PoolMember member : members) {
-			memberIds.add(member.id());
-			Server existing = this.servers.get(member.id());
-			if (existing == null || existing.member.startedAtMs() != member.startedAtMs()) {
-				this.servers.put(member.id(), new Server(member));
-			}
-			else {
-				existing.member = member;
-			}
-		}
-		this.servers.keySet().retainAll(memberIds);
+		this.servers.update(members);
 		grantQueuedRequests();
 	}
 
@@ -125,22 +95,22 @@
 	public void submit(SlotRequest request, Consumer<SlotDecision> answer) {
 		long now = this.nanoClock.getAsLong();
 		QueueEntry entry = new QueueEntry(request, answer, now, ++this.sequence);
-		if (isNewProgram(request) && !hasSpareSlots() && !this.admission.isOpen(this.averageDurationMs)) {
+		if (isNewProgram(request) && !this.servers.hasSpareSlots() && !this.admission.isOpen(this.averageDurationMs)) {
 			answer.accept(
 					SlotDecision.refused(this.admission.retryAfterMs(request.id()), "started programs wait for slots, "
 							+ this.queue.size() + " waiting and " + this.grants.size() + " in flight"));
 			return;
 		}
-		Server server = this.queue.isEmpty() ? selectServer(request) : null;
+		PoolServer server = this.queue.isEmpty() ? select(request) : null;
 		if (server != null) {
 			grant(server, entry);
 			return;
 		}
-		if (!hasAvailableServer(Set.of())) {
+		if (!this.servers.hasAvailable(Set.of())) {
 			answer.accept(SlotDecision.refused(FAILURE_COOLDOWN_MS, "no server"));
 			return;
 		}
-		if (!hasAvailableServer(request.excluded())) {
+		if (!this.servers.hasAvailable(request.excluded())) {
 			answer.accept(SlotDecision.refused(Math.round(this.averageDurationMs), "no server is left to try"));
 			return;
 		}
@@ -173,10 +143,7 @@
 	}
 
 	private long expectedWaitMs(QueueEntry entry) {
-		int slots = 0;
-		for (Server server : this.servers.values()) {
-			slots += server.member.draining() ? 0 : server.member.slots();
-		}
+		int slots = this.servers.slotCount();
 		int requestsAhead = this.queue.headSet(entry).size();
 		return (slots == 0) ? Long.MAX_VALUE : Math.round((requestsAhead + 1) * this.averageDurationMs / slots);
 	}
@@ -205,17 +172,15 @@
 			return;
 		}
 		long now = this.nanoClock.getAsLong();
-		Server server = grant.server;
-		server.inFlight--;
+		PoolServer server = grant.server;
+		server.release();
 		double durationMs = (now - grant.grantedAtNanos) / (double) NANOS_PER_MS;
 		if (failed) {
-			server.cooldownUntilNanos = now + FAILURE_COOLDOWN_MS * NANOS_PER_MS;
+			server.avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
 		}
 		else if (units > 0) {
 			this.averageDurationMs += SAMPLE_WEIGHT * (durationMs - this.averageDurationMs);
-			double sampleMsPerUnit = durationMs / units;
-			server.msPerUnit = Double.isNaN(server.msPerUnit) ? sampleMsPerUnit
-					: server.msPerUnit + SAMPLE_WEIGHT * (sampleMsPerUnit - server.msPerUnit);
+			server.recordDuration(durationMs, units);
 		}
 		grantQueuedRequests();
 	}
@@ -226,9 +191,9 @@
 	 * @param serverId identifier of the server
 	 */
 	public void restoreGrant(SlotRequest request, String serverId) {
-		Server server = this.servers.get(serverId);
+		PoolServer server = this.servers.find(serverId);
 		if (server != null && !this.grants.containsKey(request.id())) {
-			server.inFlight++;
+			server.occupy(request.prompt());
 			this.grants.put(request.id(), new Grant(server, request, this.nanoClock.getAsLong()));
 		}
 	}
@@ -263,7 +228,7 @@
 		while (iterator.hasNext()) {
 			Grant grant = iterator.next();
 			if (now - grant.grantedAtNanos > (grant.request.remainingMs() + GRANT_TIMEOUT_MARGIN_MS) * NANOS_PER_MS) {
-				grant.server.inFlight--;
+				grant.server.release();
 				iterator.remove();
 			}
 		}
@@ -293,12 +258,16 @@
 		}
 	}
 
+	private @Nullable PoolServer select(SlotRequest request) {
+		return this.servers.select(request, this.averageDurationMs, this.nanoClock.getAsLong());
+	}
+
 	private void grantQueuedRequests() {
 		refuseOverdue();
 		Iterator<QueueEntry> iterator = List.copyOf(this.queue).iterator();
-		while (iterator.hasNext() && hasFreeSlot()) {
+		while (iterator.hasNext() && this.servers.hasFreeSlot()) {
 			QueueEntry entry = iterator.next();
-			Server server = selectServer(entry.request);
+			PoolServer server = select(entry.request);
 			if (server != null) {
 				cancel(entry.request.id());
 				grant(server, entry);
@@ -306,101 +275,16 @@
 		}
 	}
 
-	private void grant(Server server, QueueEntry entry) {
+	private void grant(PoolServer server, QueueEntry entry) {
 		if (entry.request.programStarted()) {
 			this.admission.recordWait((this.nanoClock.getAsLong() - entry.enqueuedAtNanos) / (double) NANOS_PER_MS);
 		}
-		server.inFlight++;
-		server.cache.markCached(entry.request.prompt());
+		server.occupy(entry.request.prompt());
 		this.grants.put(entry.request.id(), new Grant(server, entry.request, this.nanoClock.getAsLong()));
-		entry.answer.accept(SlotDecision.granted(server.member));
-	}
-
-	private boolean hasAvailableServer(Set<String> excluded) {
-		return this.servers.values()
-			.stream()
-			.anyMatch((server) -> !server.member.draining() && !excluded.contains(server.member.id()));
-	}
-
-	private boolean hasSpareSlots() {
-		int slots = 0;
-		int inFlight = 0;
-		for (Server server : this.servers.values()) {
-			if (!server.member.draining()) {
-				slots += server.member.slots();
-				inFlight += server.inFlight;
-			}
-		}
-		return slots - inFlight > SPARE_SLOTS_FRACTION * slots;
-	}
-
-	private boolean hasFreeSlot() {
-		return this.servers.values()
-			.stream()
-			.anyMatch((server) -> !server.member.draining() && server.inFlight < server.member.slots());
-	}
-
-	private @Nullable Server selectServer(SlotRequest request) {
-		long now = this.nanoClock.getAsLong();
-		Server selected = null;
-		double lowestCost = Double.MAX_VALUE;
-		double averageMsPerUnit = averageMsPerUnit();
-		for (Server server : this.servers.values()) {
-			if (server.member.draining() || server.inFlight >= server.member.slots()
-					|| request.excluded().contains(server.member.id())) {
-				continue;
-			}
-			double cost = estimateCost(server, request, averageMsPerUnit);
-			if (server.cooldownUntilNanos - now > 0) {
-				cost += 10 * this.averageDurationMs;
-			}
-			if (cost < lowestCost) {
-				selected = server;
-				lowestCost = cost;
-			}
-		}
-		return selected;
-	}
-
-	private double estimateCost(Server server, SlotRequest request, double averageMsPerUnit) {
-		double msPerUnit = Double.isNaN(server.msPerUnit) ? averageMsPerUnit : server.msPerUnit;
-		double relativeDuration = (averageMsPerUnit > 0) ? msPerUnit / averageMsPerUnit : 1;
-		double loadFactor = 1 + FULL_LOAD_SLOWDOWN * server.inFlight / Math.max(1, server.member.slots());
-		double savedPrefillMs = server.cache.countCachedTokens(request.prompt()) / PREFILL_TOKENS_PER_MS;
-		return this.averageDurationMs * relativeDuration * loadFactor - savedPrefillMs;
-	}
-
-	private double averageMsPerUnit() {
-		double sum = 0;
-		int count = 0;
-		for (Server server : this.servers.values()) {
-			if (!Double.isNaN(server.msPerUnit)) {
-				sum += server.msPerUnit;
-				count++;
-			}
-		}
-		return (count == 0) ? 0 : sum / count;
-	}
-
-	private static final class Server {
-
-		private final PromptCache cache = new PromptCache();
-
-		private PoolMember member;
-
-		private int inFlight;
-
-		private double msPerUnit = Double.NaN;
-
-		private long cooldownUntilNanos = Long.MIN_VALUE / 2;
-
-		Server(PoolMember member) {
-			this.member = member;
-		}
-
+		entry.answer.accept(SlotDecision.granted(server.member()));
 	}
 
-	private record Grant(Server server, SlotRequest request, long grantedAtNanos) {
+	private record Grant(PoolServer server, SlotRequest request, long grantedAtNanos) {
 	}
 
 	private record QueueEntry(SlotRequest request, Consumer<SlotDecision> answer, long enqueuedAtNanos, long sequence) {
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
@@ -16,7 +16,8 @@
  * @param remainingMs time until the caller's deadline in milliseconds
  * @param prompt parts of the prompt in order; empty for a plain service
  * @param excluded servers that have already failed this request
+ * @param connected servers to which the daemon has an idle connection
  */
 public record SlotRequest(String id, String holder, int priority, boolean programStarted, long programRemainingMs,
-		long objectiveMs, long remainingMs, List<PromptPart> prompt, Set<String> excluded) {
+		long objectiveMs, long remainingMs, List<PromptPart> prompt, Set<String> excluded, Set<String> connected) {
 }
--- a/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
@@ -154,6 +154,21 @@
 		}
 	}
 
+	// Guards against new connections to servers although one to an equally good server is
+	// open, and against servers that are overloaded because connections to them are open.
+	@ParameterizedTest
+	@CsvSource({ "0, s2", "1, s2", "6, s1" })
+	void connectedServerIsPreferredUnlessItIsBusier(int busySlots, String expected) {
+		this.scheduler.updateServers(List.of(member("s1", 8, false), member("s2", 8, false)));
+		for (int i = 0; i < busySlots; i++) {
+			this.scheduler.restoreGrant(request("b" + i, 0, true, List.of(), Set.of()), "s2");
+		}
+		this.scheduler.submit(
+				new SlotRequest("a", "daemon", 0, true, Long.MAX_VALUE, 250, 3000, List.of(), Set.of(), Set.of("s2")),
+				(answer) -> this.answers.put("a", answer));
+		assertThat(server("a")).isEqualTo(expected);
+	}
+
 	// Guards against work that accumulates on a slow server while faster servers have
 	// free
 	// slots.
@@ -200,7 +215,7 @@
 	}
 
 	private void submitWithProgramTime(String id, long programRemainingMs) {
-		submit(new SlotRequest(id, "daemon", 0, true, programRemainingMs, 250, 3000, List.of(), Set.of()));
+		submit(new SlotRequest(id, "daemon", 0, true, programRemainingMs, 250, 3000, List.of(), Set.of(), Set.of()));
 	}
 
 	private void submit(String id, int priority, boolean running) {
@@ -224,7 +239,7 @@
 
 	private static SlotRequest request(String id, int priority, boolean running, List<PromptPart> prompt,
 			Set<String> excluded) {
-		return new SlotRequest(id, "daemon", priority, running, Long.MAX_VALUE, 250, 3000, prompt, excluded);
+		return new SlotRequest(id, "daemon", priority, running, Long.MAX_VALUE, 250, 3000, prompt, excluded, Set.of());
 	}
 
 	private static PoolMember member(String id, int slots, boolean draining) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -124,11 +124,16 @@
 		}
 		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(),
 				this.route.priority(), this.programStarted, programRemainingMs(), this.route.objective().toMillis(),
-				remainingMs, this.callerRequest.prompt(), Set.copyOf(this.excludedServers));
+				remainingMs, this.callerRequest.prompt(), Set.copyOf(this.excludedServers), connectedServers());
 		this.log.slotRequested();
 		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
 	}
 
+	private Set<String> connectedServers() {
+		return this.services.slotClient()
+			.findServers(this.pool, (server) -> this.services.serverConnections().hasIdle(server.address()));
+	}
+
 	private long programRemainingMs() {
 		long givenMs = this.callerRequest.programDeadlineMs();
 		return (givenMs == Long.MAX_VALUE) ? givenMs : givenMs - this.deadline.elapsedMs();
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
@@ -138,6 +138,16 @@
 		return null;
 	}
 
+	/**
+	 * Returns whether a request can be sent without opening a connection.
+	 * @param address the IP address and port of the server
+	 * @return whether an idle connection is usable
+	 */
+	public boolean hasIdle(String address) {
+		Deque<HttpClientConnection> connections = this.idleConnections.get(address);
+		return connections != null && !connections.isEmpty() && connections.getLast().isUsable(nanoTime());
+	}
+
 	void addIdle(String address, HttpClientConnection connection) {
 		this.idleConnections.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addLast(connection);
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
@@ -69,10 +69,23 @@
 		for (PromptPart part : request.prompt()) {
 			out.packString(part.id()).packInt(part.tokens());
 		}
-		out.packArrayHeader(request.excluded().size());
-		for (String server : request.excluded()) {
-			out.packString(server);
+		writeStrings(out, request.excluded());
+		writeStrings(out, request.connected());
+	}
+
+	private static void writeStrings(MessagePacker out, Set<String> strings) throws IOException {
+		out.packArrayHeader(strings.size());
+		for (String string : strings) {
+			out.packString(string);
+		}
+	}
+
+	private static Set<String> readStrings(MessageUnpacker in) throws IOException {
+		Set<String> strings = new HashSet<>();
+		for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
+			strings.add(in.unpackString());
 		}
+		return strings;
 	}
 
 	static SlotRequest readSlotRequest(MessageUnpacker in) throws IOException {
@@ -87,12 +100,8 @@
 		for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
 			prompt.add(new PromptPart(in.unpackString(), in.unpackInt()));
 		}
-		Set<String> excluded = new HashSet<>();
-		for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
-			excluded.add(in.unpackString());
-		}
 		return new SlotRequest(id, holder, priority, programStarted, programRemainingMs, objectiveMs, remainingMs,
-				prompt, excluded);
+				prompt, readStrings(in), readStrings(in));
 	}
 
 	static void writeSlotAnswer(MessagePacker out, @Nullable SlotDecision answer) throws IOException {
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -56,6 +57,8 @@
 
 	private final Map<String, PoolScheduler> schedulers = new HashMap<>();
 
+	private List<PoolMember> servers = List.of();
+
 	private final WithdrawnServers withdrawnServers = new WithdrawnServers();
 
 	private final Set<Slot> openSlots = new HashSet<>();
@@ -72,6 +75,7 @@
 	 * @param servers the complete list
 	 */
 	public void updateServers(List<PoolMember> servers) {
+		this.servers = List.copyOf(servers);
 		this.withdrawnServers.update(servers);
 		Map<String, List<PoolMember>> byPool = new HashMap<>();
 		this.schedulers.keySet().forEach((pool) -> byPool.put(pool, new ArrayList<>()));
@@ -79,6 +83,22 @@
 		byPool.forEach((pool, members) -> scheduler(pool).updateServers(members));
 	}
 
+	/**
+	 * Returns the servers of a pool that meet a condition.
+	 * @param pool name of the pool
+	 * @param condition the condition
+	 * @return identifiers of the servers
+	 */
+	public Set<String> findServers(String pool, Predicate<PoolMember> condition) {
+		Set<String> found = new HashSet<>();
+		for (PoolMember member : this.servers) {
+			if (member.pool().equals(pool) && condition.test(member)) {
+				found.add(member.id());
+			}
+		}
+		return found;
+	}
+
 	/**
 	 * Returns whether a granted server must not be used, because this daemon knows of a
 	 * newer list than the scheduler.
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -33,7 +33,7 @@
 			Instant.ofEpochMilli(123_456), Duration.ofSeconds(60));
 
 	private static final SlotRequest REQUEST = new SlotRequest("r1", "d1", 1, true, -40, 250, 3000,
-			List.of(new PromptPart("ab", 512)), Set.of("s1"));
+			List.of(new PromptPart("ab", 512)), Set.of("s1"), Set.of("s4"));
 
 	static Stream<PeerMessage> messages() {
 		return Stream.of(new PeerMessage.Hello("d1"), new PeerMessage.OpenTurn("t1", "p1", null, 5000, 80, 60_000),
