Simplify how the overload test draws the length of programs

Change: two constants and a plain draw, which gives the same programs for each seed; no bound or case changes.

--- a/core/src/test/java/org/hemlockgw/core/pool/OverloadTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/OverloadTests.java
@@ -4,7 +4,6 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.IntUnaryOperator;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,12 +28,16 @@
 
 	private static final int PAUSE_MS = 50;
 
+	private static final int MIN_TURNS = 2;
+
+	private static final int MAX_TURNS = 10;
+
 	private static final int OBJECTIVE_MS = 250;
 
 	private static final int DEADLINE_MS = 4000;
 
 	/** Programs a second that the servers can run on average. */
-	private static final double CAPACITY = 1000.0 * SERVERS * SLOTS / (TURN_MS * averageTurns());
+	private static final double CAPACITY = 1000.0 * SERVERS * SLOTS / (TURN_MS * (MIN_TURNS + MAX_TURNS) / 2.0);
 
 	/** Interval at which overdue requests are refused. */
 	private static final int TICK_MS = 50;
@@ -64,10 +67,6 @@
 
 	private int heldRefusals;
 
-	private static double averageTurns() {
-		return 6;
-	}
-
 	// Load during the flood as a multiple of the capacity. Guards against an overload
 	// that makes all programs late, and against one that outlasts its cause.
 	@ParameterizedTest
@@ -77,9 +76,9 @@
 			.mapToObj((i) -> new PoolMember("s" + i, "p", "127.0.0.1:" + (i + 1), "a", SLOTS, false, 0))
 			.toList());
 		Random random = new Random(seed);
-		IntUnaryOperator turns = (bound) -> 2 + random.nextInt(bound);
 		for (double at = 0; at < TOTAL_MS; at += nextGapMs(random, at, load)) {
-			Program program = new Program("p" + (long) at + "-" + this.sequence, turns.applyAsInt(9), (long) at);
+			int turns = MIN_TURNS + random.nextInt(MAX_TURNS - MIN_TURNS + 1);
+			Program program = new Program("p" + (long) at + "-" + this.sequence, turns, (long) at);
 			schedule((long) at, program::begin);
 		}
 		for (int tick = 0; tick < TOTAL_MS + DEADLINE_MS; tick += TICK_MS) {
