Log which records the store has not acknowledged

Change: - "answered" and the other end lines of a turn have store_wait_ms, the time from the complete response of the engine to the end; the same as metric hemlockgw_turn_end_store_wait_ms. - "store acknowledges records again" at the end of an outage: shard, epoch, number of records and how long the oldest had waited. - Gauge hemlockgw_unacknowledged_records. - "records are copied but not acknowledged by the store" with keys and number of copies, in CopyManager only, so that it goes when the copies go.

RequestLogTests 13 of 13, MembershipTests green.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -213,6 +213,7 @@
 		metrics.setGauge("shards", this.membership.ownedShardCount());
 		metrics.setGauge("generation", this.membership.generation());
 		metrics.setGauge("turns", this.membership.turnCount());
+		metrics.setGauge("unacknowledged_records", this.membership.unacknowledgedRecordCount());
 		metrics.setGauge("server_connections_opened", this.services.serverConnections().openedCount());
 		metrics.setGauge("heap_bytes", runtime.totalMemory() - runtime.freeMemory());
 		return metrics.render();
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -311,6 +311,9 @@
 		@Override
 		public void answered(ResponseRelay relay, int status) {
 			Exchange.this.responseComplete = true;
+			if (Exchange.this.turnSession != null) {
+				Exchange.this.log.turnAnswered();
+			}
 			if (!relay.isStream() || mayForward()) {
 				finish(relay, status);
 			}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestLog.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestLog.java
@@ -41,6 +41,10 @@
 
 	private long slotWaitMs;
 
+	private boolean turnAnswered;
+
+	private long turnAnsweredNanos;
+
 	RequestLog(CallerRequest callerRequest, Metrics metrics, LongSupplier nanoClock, Deadline deadline) {
 		this.callerRequest = callerRequest;
 		this.metrics = metrics;
@@ -69,6 +73,15 @@
 		this.sendCount = newSendCount;
 	}
 
+	/**
+	 * Notes that the complete response to a turn was received. Its end waits only for the
+	 * store from now on.
+	 */
+	void turnAnswered() {
+		this.turnAnswered = true;
+		this.turnAnsweredNanos = this.nanoClock.getAsLong();
+	}
+
 	void answered(int status, int events) {
 		recordOutcome("answered", status);
 		if (this.server != null) {
@@ -140,6 +153,13 @@
 	private void recordOutcome(String outcome, int status) {
 		this.metrics.increment(Metrics.withLabel(outcome, "route", this.route));
 		this.metrics.record("request_ms_" + outcome + ((status > 0) ? "_" + status : ""), this.deadline.elapsedMs());
+		if (this.turnAnswered) {
+			this.metrics.record("turn_end_store_wait_ms", storeWaitMs());
+		}
+	}
+
+	private long storeWaitMs() {
+		return TimeUnit.NANOSECONDS.toMillis(this.nanoClock.getAsLong() - this.turnAnsweredNanos);
 	}
 
 	private LoggingEventBuilder newLine() {
@@ -159,6 +179,9 @@
 				.addKeyValue(LogFields.SEND_COUNT, this.sendCount)
 				.addKeyValue(LogFields.WAIT_MS, this.slotWaitMs);
 		}
+		if (this.turnAnswered) {
+			line = line.addKeyValue(LogFields.STORE_WAIT_MS, storeWaitMs());
+		}
 		return line;
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/CopyManager.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/CopyManager.java
@@ -9,10 +9,13 @@
 import java.util.function.LongSupplier;
 
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.store.KeyedValue;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
  * Manages copies of records on other daemons while the store is unavailable. A daemon
@@ -21,6 +24,8 @@
  */
 final class CopyManager implements CopySender {
 
+	private static final Logger logger = LoggerFactory.getLogger(CopyManager.class);
+
 	/**
 	 * Number of other daemons that keep a copy of each record; one if no more are
 	 * reachable.
@@ -56,8 +61,19 @@
 	public void send(int shard, long epoch, List<KeyedValue> records, Consumer<Boolean> done) {
 		List<MemberName> targets = this.members.choose(COPY_COUNT);
 		FanOutRequest.send(this.peers, this.members, targets, new PeerMessage.KeepCopies(shard, epoch, records),
-				(replies) -> done
-					.accept(!targets.isEmpty() && targets.stream().allMatch((target) -> isKept(replies.get(target)))));
+				(replies) -> {
+					boolean kept = !targets.isEmpty()
+							&& targets.stream().allMatch((target) -> isKept(replies.get(target)));
+					if (kept) {
+						logger.atInfo()
+							.addKeyValue(LogFields.SHARD, shard)
+							.addKeyValue(LogFields.EPOCH, epoch)
+							.addKeyValue(LogFields.KEYS, records.stream().map(KeyedValue::key).toList())
+							.addKeyValue(LogFields.COPIES, targets.size())
+							.log("records are copied but not acknowledged by the store");
+					}
+					done.accept(kept);
+				});
 	}
 
 	private static boolean isKept(@Nullable PeerMessage reply) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -118,7 +118,7 @@
 		this.health = new StoreHealth(nanoClock);
 		this.copies = new CopyManager(peers, this.members, this.health, self, nanoClock);
 		this.store = new RelayedStore(store, peers, this.members);
-		this.owned = new OwnedShards(loop, this.store, clock, this.health, this.copies, this::refresh);
+		this.owned = new OwnedShards(loop, this.store, clock, nanoClock, this.health, this.copies, this::refresh);
 	}
 
 	public void start() {
@@ -388,4 +388,12 @@
 		return this.owned.turnCount();
 	}
 
+	/**
+	 * Returns the number of records that the store has not acknowledged yet.
+	 * @return number of records of all shards that this daemon holds
+	 */
+	public int unacknowledgedRecordCount() {
+		return this.owned.unacknowledgedCount();
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -205,6 +205,10 @@
 		this.writer.append(List.of(ShardCodec.CONFIRMATION), (stored) -> this.confirmed = stored);
 	}
 
+	int unacknowledgedCount() {
+		return this.writer.unacknowledgedCount();
+	}
+
 	boolean isIdle() {
 		return this.writer.isIdle();
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShards.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShards.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.IntPredicate;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +31,8 @@
 
 	private final InstantSource clock;
 
+	private final LongSupplier nanoClock;
+
 	private final StoreHealth health;
 
 	private final CopyManager copies;
@@ -45,15 +48,17 @@
 	 * @param loop event loop
 	 * @param store the store
 	 * @param clock wall clock
+	 * @param nanoClock monotonic clock in nanoseconds
 	 * @param health availability of the store
 	 * @param copies copies of records on other daemons
 	 * @param onFenced called when another daemon has taken over a shard
 	 */
-	OwnedShards(EventLoop loop, StateStore store, InstantSource clock, StoreHealth health, CopyManager copies,
-			Runnable onFenced) {
+	OwnedShards(EventLoop loop, StateStore store, InstantSource clock, LongSupplier nanoClock, StoreHealth health,
+			CopyManager copies, Runnable onFenced) {
 		this.loop = loop;
 		this.store = store;
 		this.clock = clock;
+		this.nanoClock = nanoClock;
 		this.health = health;
 		this.copies = copies;
 		this.onFenced = onFenced;
@@ -72,10 +77,11 @@
 
 	private void acquire(int number, long generation) {
 		long epoch = 2 * (generation * ACQUISITIONS_PER_GENERATION + this.acquisitions++ % ACQUISITIONS_PER_GENERATION);
-		ShardWriter writer = new ShardWriter(this.loop, this.store, this.health, this.copies, number, epoch, () -> {
-			relinquish(number);
-			this.onFenced.run();
-		});
+		ShardWriter writer = new ShardWriter(this.loop, this.store, this.health, this.copies, this.nanoClock, number,
+				epoch, () -> {
+					relinquish(number);
+					this.onFenced.run();
+				});
 		OwnedShard shard = new OwnedShard(this.loop, this.store, this.clock, number, writer);
 		this.byNumber.put(number, shard);
 		shard.acquire((done) -> this.copies.collect(number, epoch, done));
@@ -145,6 +151,10 @@
 		return this.byNumber.values().stream().mapToInt(OwnedShard::turnCount).sum();
 	}
 
+	int unacknowledgedCount() {
+		return this.byNumber.values().stream().mapToInt(OwnedShard::unacknowledgedCount).sum();
+	}
+
 	Map<Integer, OwnedShard> byNumber() {
 		return Collections.unmodifiableMap(this.byNumber);
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -56,6 +57,8 @@
 
 	private final CopySender copies;
 
+	private final LongSupplier nanoClock;
+
 	private final int shard;
 
 	private final long epoch;
@@ -70,6 +73,8 @@
 
 	private List<Waiter> inFlightWaiters = List.of();
 
+	private long batchStartNanos;
+
 	private long sequence;
 
 	private boolean opened;
@@ -80,12 +85,13 @@
 
 	private boolean closed;
 
-	ShardWriter(EventLoop loop, StateStore store, StoreHealth health, CopySender copies, int shard, long epoch,
-			Runnable onFenced) {
+	ShardWriter(EventLoop loop, StateStore store, StoreHealth health, CopySender copies, LongSupplier nanoClock,
+			int shard, long epoch, Runnable onFenced) {
 		this.loop = loop;
 		this.store = store;
 		this.health = health;
 		this.copies = copies;
+		this.nanoClock = nanoClock;
 		this.shard = shard;
 		this.epoch = epoch;
 		this.onFenced = onFenced;
@@ -134,6 +140,14 @@
 		}
 	}
 
+	/**
+	 * Returns the number of records that the store has not acknowledged.
+	 * @return number of records in the current call and in the queue
+	 */
+	int unacknowledgedCount() {
+		return this.inFlight.size() + this.pending.size();
+	}
+
 	boolean isIdle() {
 		return !this.callInProgress && this.pending.isEmpty();
 	}
@@ -164,6 +178,7 @@
 			return;
 		}
 		this.callInProgress = true;
+		this.batchStartNanos = this.nanoClock.getAsLong();
 		List<KeyedValue> batch = new ArrayList<>();
 		int bytes = 0;
 		while (!this.pending.isEmpty() && batch.size() < MAX_CALL_RECORDS && bytes < MAX_CALL_BYTES) {
@@ -215,6 +230,9 @@
 	}
 
 	private void onStored() {
+		if (!this.inFlight.isEmpty()) {
+			logIfDelayed();
+		}
 		this.sequence = this.opened ? this.sequence + 1 : 0;
 		this.opened = true;
 		this.callInProgress = false;
@@ -225,6 +243,18 @@
 		flush();
 	}
 
+	private void logIfDelayed() {
+		long waitMs = TimeUnit.NANOSECONDS.toMillis(this.nanoClock.getAsLong() - this.batchStartNanos);
+		if (waitMs > StoreHealth.UNAVAILABLE_MS) {
+			logger.atInfo()
+				.addKeyValue(LogFields.SHARD, this.shard)
+				.addKeyValue(LogFields.EPOCH, this.epoch)
+				.addKeyValue(LogFields.RECORDS, unacknowledgedCount())
+				.addKeyValue(LogFields.STORE_WAIT_MS, waitMs)
+				.log("store acknowledges records again");
+		}
+	}
+
 	private void scheduleCopy() {
 		if (this.copyScheduled || !this.opened) {
 			return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
@@ -19,7 +19,7 @@
 	 * Time in milliseconds without an answer after which the store is considered
 	 * unavailable: two joins.
 	 */
-	private static final long UNAVAILABLE_MS = 700;
+	static final long UNAVAILABLE_MS = 700;
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/telemetry/LogFields.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/telemetry/LogFields.java
@@ -92,6 +92,18 @@
 	/** Time without a response from the store, in milliseconds. */
 	public static final String STORE_UNAVAILABLE_MS = "away_ms";
 
+	/**
+	 * Time that records, or the end of a turn, waited for the store's acknowledgement, in
+	 * milliseconds.
+	 */
+	public static final String STORE_WAIT_MS = "store_wait_ms";
+
+	/** Keys of records. */
+	public static final String KEYS = "keys";
+
+	/** Number of daemons that keep a copy. */
+	public static final String COPIES = "copies";
+
 	/** Digest of a request's path and body. */
 	public static final String DIGEST = "digest";
 
