Accept only literal IP addresses and usable ports

Seen by callers: an entry of another writer that names a host, port 0 or "IP:+PORT" was taken for a server. Cause: parseAddress gave any text before the last colon to InetSocketAddress, which looks names up on the event loop, and accepted names that do not resolve. Integer.parseInt takes signs, and port 0 is allowed by InetSocketAddress. Change: the host must be an IPv4 or IPv6 literal, the port 1 to 65535 in ASCII digits without sign or leading zero. Ruled out: ports above 65535, negative ones and numbers beyond int were refused before. How long a lookup blocks with a name server that does not answer was not measured.

--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
@@ -1,5 +1,6 @@
 package org.hemlockgw.gateway.net;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -8,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.regex.Pattern;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -20,6 +22,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.util.NetUtil;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,6 +47,10 @@
 	 */
 	private static final long KEEP_ALIVE_MARGIN_MS = 700;
 
+	private static final Pattern PORT_PATTERN = Pattern.compile("[1-9][0-9]{0,4}");
+
+	private static final int MAX_PORT = 65_535;
+
 	private final EventLoop loop;
 
 	private final int connectTimeoutMs;
@@ -218,21 +225,19 @@
 	}
 
 	/**
-	 * Parses an address.
+	 * Parses an address. Host names are not accepted, because resolving them would block
+	 * the event loop.
 	 * @param address the IP address and port, separated by a colon
 	 * @return the address, or null if it is malformed
 	 */
 	public static @Nullable InetSocketAddress parseAddress(String address) {
 		int colon = address.lastIndexOf(':');
-		if (colon <= 0) {
-			return null;
-		}
-		try {
-			return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-		}
-		catch (IllegalArgumentException ex) {
+		if (colon <= 0 || !PORT_PATTERN.matcher(address.substring(colon + 1)).matches()) {
 			return null;
 		}
+		InetAddress host = NetUtil.createInetAddressFromIpAddressString(address.substring(0, colon));
+		int port = Integer.parseInt(address.substring(colon + 1));
+		return (host != null && port <= MAX_PORT) ? new InetSocketAddress(host, port) : null;
 	}
 
 }
--- a/gateway/src/test/java/org/hemlockgw/gateway/net/HttpConnectionsTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/net/HttpConnectionsTests.java
@@ -34,6 +34,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -73,6 +74,24 @@
 
 	private final HttpConnections connections = new HttpConnections(this.loop, 500, () -> this.nanos);
 
+	@ParameterizedTest
+	@CsvSource({ "127.0.0.1:80, 127.0.0.1, 80", "10.1.0.9:65535, 10.1.0.9, 65535", "[::1]:1, 0:0:0:0:0:0:0:1, 1",
+			"0:0:0:0:0:0:0:1:8080, 0:0:0:0:0:0:0:1, 8080" })
+	void parsesLiteralAddress(String text, String host, int port) {
+		assertThat(HttpConnections.parseAddress(text)).isEqualTo(new InetSocketAddress(host, port));
+	}
+
+	// Guards against name lookups, which block the event loop, and against ports to which
+	// no connection is possible.
+	@ParameterizedTest
+	@ValueSource(strings = { "", ":", ":80", "80", "10.1.0.9", "10.1.0.9:", "localhost:80", "engine.invalid:80",
+			"2130706433:80", "127.1:80", " 10.1.0.9:80", "10.1.0.9 :80", "10.1.0.9\r\n:80", "10.1.0.9:80/x",
+			"10.1.0.256:80", "::1", "[::1]", "[::1:80", "10.1.0.9:0", "10.1.0.9:-1", "10.1.0.9:+80", "10.1.0.9:65536",
+			"10.1.0.9:4294967376", "10.1.0.9:99999999999999999999", "10.1.0.9:\u0668\u0660" })
+	void rejectsAddressThatIsNotLiteral(String text) {
+		assertThat(HttpConnections.parseAddress(text)).isNull();
+	}
+
 	@AfterEach
 	void stop() {
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
