Sum the slots of a pool without overflow

Seen by callers: nothing yet; with two entries of 2^30 slots or more the sum of the pool becomes negative or zero, so that new programs look as if no slot was spare. Cause: slotCount adds ints. Change: it returns a long; the fraction of spare slots and the expected wait use it. Ruled out: memory and queues do not depend on the number of slots.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -143,7 +143,7 @@
 	}
 
 	private long expectedWaitMs(QueueEntry entry) {
-		int slots = this.servers.slotCount();
+		long slots = this.servers.slotCount();
 		int requestsAhead = this.queue.headSet(entry).size();
 		return (slots == 0) ? Long.MAX_VALUE : Math.round((requestsAhead + 1) * this.averageDurationMs / slots);
 	}
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolServers.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolServers.java
@@ -48,8 +48,8 @@
 	 * Returns the number of slots of all servers that are not draining.
 	 * @return number of slots
 	 */
-	int slotCount() {
-		int slots = 0;
+	long slotCount() {
+		long slots = 0;
 		for (PoolServer server : this.byId.values()) {
 			slots += server.member().draining() ? 0 : server.member().slots();
 		}
@@ -71,7 +71,7 @@
 	 * @return whether the pool has spare slots
 	 */
 	boolean hasSpareSlots() {
-		int slots = slotCount();
+		long slots = slotCount();
 		int inFlight = 0;
 		for (PoolServer server : this.byId.values()) {
 			inFlight += server.member().draining() ? 0 : server.inFlight();
