Add faults for all clients to the stand-in of the store

Cause: the stand-in could only answer 503 to everybody, lose single answers or be slow, so outages in which connections are reset or silent, or in which many answers are lost, had no test.

Change: enum StoreFault (BUSY, RESET, SILENT, SLOW, LOSING), applied by FaultInjector with a switch; setDown is BUSY. RESET and SILENT also interrupt reads that wait for records. A connection without an answer stays silent after the fault; new ones work. Half of the answers are lost in LOSING, drawn from a seed.

--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -29,9 +29,6 @@
  */
 public final class StoreServer implements AutoCloseable {
 
-	/** Time for which a connection whose answer is lost stays open. */
-	private static final Duration SILENCE = Duration.ofSeconds(20);
-
 	/** Items of one page, small so that paging is used. */
 	private static final int PAGE_ITEMS = 50;
 
@@ -47,7 +44,7 @@
 
 	private long generation;
 
-	private boolean down;
+	private final FaultInjector faults = new FaultInjector();
 
 	private int answersToLose;
 
@@ -85,8 +82,26 @@
 	 * Starts or ends an outage.
 	 * @param value true to answer 503
 	 */
-	public synchronized void setDown(boolean value) {
-		this.down = value;
+	public void setDown(boolean value) {
+		setFault(value ? StoreFault.BUSY : StoreFault.NONE);
+	}
+
+	/**
+	 * Sets the fault of all calls. Reads that wait for records are interrupted by faults
+	 * of connections.
+	 * @param fault the fault
+	 */
+	public synchronized void setFault(StoreFault fault) {
+		this.faults.setFault(fault);
+		notifyAll();
+	}
+
+	/**
+	 * Sets the seed from which the answers to lose are drawn.
+	 * @param seed the seed
+	 */
+	public void setFaultSeed(long seed) {
+		this.faults.setSeed(seed);
 	}
 
 	/**
@@ -159,15 +174,15 @@
 	}
 
 	private void handle(Exchange exchange) throws IOException {
+		this.faults.handle(exchange, this::execute);
+	}
+
+	private void execute(Exchange exchange) throws IOException {
 		Duration delay;
 		synchronized (this) {
-			if (this.down) {
-				exchange.respondError(503, "down");
-				return;
-			}
 			delay = this.answerDelay;
 		}
-		pause(delay);
+		FaultInjector.pause(delay);
 		switch (exchange.route()) {
 			case "POST /log-append" -> append(exchange);
 			case "GET /log-read" -> read(exchange);
@@ -179,19 +194,10 @@
 		}
 	}
 
-	private static void pause(Duration time) throws IOException {
-		try {
-			TimeUnit.NANOSECONDS.sleep(time.toNanos());
-		}
-		catch (InterruptedException ex) {
-			throw new IOException("stopped", ex);
-		}
-	}
-
 	private static void respondUnlessLost(Exchange exchange, @Nullable Map<String, Object> answer) throws IOException {
 		if (answer == null) {
-			pause(SILENCE);
-			throw new IOException("answer is lost");
+			FaultInjector.keepSilent();
+			return;
 		}
 		exchange.respond((Integer) answer.getOrDefault("status", 200), answer);
 	}
@@ -228,10 +234,11 @@
 	private synchronized void read(Exchange exchange) throws IOException {
 		StorePartition partition = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0));
 		long from = exchange.queryNumber("from", 0);
+		long interruptions = this.faults.interruptionCount();
 		long until = System.nanoTime() + exchange.queryNumber("wait_ms", 0) * 1_000_000;
 		try {
-			for (long left = until - System.nanoTime(); from >= partition.end()
-					&& left > 0; left = until - System.nanoTime()) {
+			for (long left = until - System.nanoTime(); from >= partition.end() && left > 0
+					&& this.faults.interruptionCount() == interruptions; left = until - System.nanoTime()) {
 				wait(left / 1_000_000, (int) (left % 1_000_000));
 			}
 		}
