Count a record as durable only once the store has acknowledged it

Cause: while the store did not answer, ShardWriter completed appends once two other daemons had copies in memory. The response was ended and tokens were sent on the strength of these copies; all VMs lost power before the store was back. Budget reservations went the same way. The log of the reproduction names the keys that were "copied but not acknowledged by the store", and the take-over read every turn that the store had. Change: an append completes only when the store has answered. Copies, their messages and the 2 s in which a new holder waited for them are removed: no caller has been told of a record that the store lacks, so a take-over needs the fence and the records only. A turn that arrives while the store is unavailable is not sent to an engine; it waits for half of its remaining time and is then refused with 503 and Retry-After.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -30,7 +30,6 @@
 import org.hemlockgw.gateway.entry.Services;
 import org.hemlockgw.gateway.entry.WireFormat;
 import org.hemlockgw.gateway.net.HttpConnections;
-import org.hemlockgw.gateway.owner.CopyService;
 import org.hemlockgw.gateway.owner.HedgedStore;
 import org.hemlockgw.gateway.owner.MemberName;
 import org.hemlockgw.gateway.owner.Membership;
@@ -89,8 +88,6 @@
 
 	private final Membership membership;
 
-	private final CopyService copyService;
-
 	private final ProgramOwner programOwner;
 
 	private final PeerLinks peerLinks;
@@ -124,7 +121,6 @@
 				System::nanoTime);
 		this.membership = new Membership(loop, hedgedStore, clock, System::nanoTime, self, this.peerLinks,
 				this::notifyPeersOfAssignment);
-		this.copyService = this.membership.copyService();
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
 		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable,
@@ -244,20 +240,11 @@
 		else if (message instanceof PeerMessage.HoldSlot hold) {
 			this.slotClient.handle(hold);
 		}
-		else if (message instanceof PeerMessage.KeepCopies keep) {
-			reply.accept(this.copyService.handle(keep));
-		}
-		else if (message instanceof PeerMessage.CopiesReceived received) {
-			this.copyService.handle(received, sender);
-		}
-		else if (message instanceof PeerMessage.OfferCopies offer) {
-			reply.accept(this.copyService.handle(offer));
-		}
-		else if (message instanceof PeerMessage.CollectCopies collect) {
-			reply.accept(this.copyService.handle(collect));
-		}
 		else if (message instanceof PeerMessage.StoreCall call) {
-			this.copyService.handle(call, reply);
+			this.membership.relay(call, reply);
+		}
+		else if (message instanceof PeerMessage.ShardFenced fenced) {
+			this.membership.handle(fenced);
 		}
 		else if (message instanceof PeerMessage.AssignmentChanged) {
 			this.membership.refresh();
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
+
 import org.hemlockgw.core.turn.TurnRecord;
 import org.hemlockgw.gateway.owner.OwnerClient;
 import org.hemlockgw.gateway.peer.PeerMessage;
@@ -22,12 +24,20 @@
 	private static final long HANDOVER_RETRY_AFTER_MS = 200;
 
 	/**
-	 * Retry-After in milliseconds for shards that no daemon can acquire until the store
-	 * is available again, which takes seconds; callers wait for a third of their time at
-	 * most.
+	 * Maximum Retry-After in milliseconds while the store is unavailable, which lasts
+	 * seconds.
 	 */
 	private static final long STORE_RETRY_AFTER_MS = 1000;
 
+	/** Callers wait for a third of their remaining time at most. */
+	private static final long RETRY_AFTER_FRACTION = 3;
+
+	/**
+	 * Fraction of the remaining time for which a turn waits for the store before it is
+	 * refused, so that the caller can try again.
+	 */
+	private static final long STORE_WAIT_FRACTION = 2;
+
 	private static final byte[] NO_BYTES = {};
 
 	private final Services services;
@@ -40,6 +50,10 @@
 
 	private boolean opened;
 
+	private boolean started;
+
+	private PeerMessage.@Nullable TurnOpened waitingForStore;
+
 	private boolean reserved;
 
 	private boolean closed;
@@ -102,17 +116,42 @@
 	}
 
 	private void handleReady(PeerMessage.TurnOpened reply) {
-		if (this.opened) {
-			return;
-		}
+		boolean first = !this.opened;
 		this.opened = true;
 		if (this.closed) {
-			// The request has already ended: cancel the reservation of its tokens.
-			sendEnd(false, NO_BYTES, NO_BYTES, 0, () -> {
-			});
-			return;
+			if (first) {
+				// The request has already ended: cancel the reservation of its tokens.
+				sendEnd(false, NO_BYTES, NO_BYTES, 0, () -> {
+				});
+			}
+		}
+		else if (reply.storeAvailable()) {
+			start(reply);
+		}
+		else if (!this.started && this.waitingForStore == null) {
+			this.waitingForStore = reply;
+			this.services.loop()
+				.schedule(this::refuseWaiting, this.deadline.remainingMs() / STORE_WAIT_FRACTION,
+						TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void start(PeerMessage.TurnOpened reply) {
+		this.waitingForStore = null;
+		if (!this.started) {
+			this.started = true;
+			this.listener.opened(reply.prompt(), reply.programStarted());
 		}
-		this.listener.opened(reply.prompt(), reply.programStarted());
+	}
+
+	private void refuseWaiting() {
+		if (this.waitingForStore != null) {
+			refuse(503, storeRetryAfterMs(), "the store is unavailable");
+		}
+	}
+
+	private long storeRetryAfterMs() {
+		return Math.min(STORE_RETRY_AFTER_MS, this.deadline.remainingMs() / RETRY_AFTER_FRACTION);
 	}
 
 	private void handleReservation(boolean stored) {
@@ -124,6 +163,9 @@
 			return;
 		}
 		this.reserved = true;
+		if (this.waitingForStore != null) {
+			start(this.waitingForStore);
+		}
 		this.listener.reserved();
 	}
 
@@ -133,7 +175,7 @@
 		}
 		this.services.membership().refresh();
 		if (!this.opened && this.services.membership().isStoreUnavailable()) {
-			refuse(503, STORE_RETRY_AFTER_MS, cause + ", store is away");
+			refuse(503, storeRetryAfterMs(), cause + ", store is unavailable");
 			return;
 		}
 		if (!this.opened && this.deadline.isHalfElapsed()) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/KnownMembers.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/KnownMembers.java
@@ -10,8 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-import org.jspecify.annotations.Nullable;
-
 /**
  * Tracks the other daemons that held shards recently and selects those to send requests
  * to.
@@ -27,12 +25,6 @@
 	/** Time in seconds after which a daemon that no longer holds a shard is removed. */
 	private static final long EXPIRY_S = 120;
 
-	/**
-	 * Time in milliseconds within which daemons rejoin after the store was unavailable;
-	 * members that have not rejoined after 2 s are removed.
-	 */
-	static final long REJOIN_MS = 2000;
-
 	private final MemberName self;
 
 	private final LongSupplier nanoClock;
@@ -42,8 +34,6 @@
 
 	private final Map<String, Long> failureNanos = new HashMap<>();
 
-	private @Nullable Long firstUpdateNanos;
-
 	private int rotation;
 
 	KnownMembers(MemberName self, LongSupplier nanoClock) {
@@ -53,9 +43,6 @@
 
 	void recordSeen(Collection<MemberName> members) {
 		long now = this.nanoClock.getAsLong();
-		if (this.firstUpdateNanos == null) {
-			this.firstUpdateNanos = now;
-		}
 		members.forEach((member) -> this.byAddress.put(member.peerAddress(), new Entry(member, now)));
 		this.byAddress.remove(this.self.peerAddress());
 		this.byAddress.values().removeIf((entry) -> now - entry.seenNanos() > TimeUnit.SECONDS.toNanos(EXPIRY_S));
@@ -69,16 +56,6 @@
 		return this.byAddress.values().stream().map(Entry::member).toList();
 	}
 
-	/**
-	 * Returns whether all daemons that were running recently are known. A daemon that
-	 * starts while the store is unavailable discovers the others when they rejoin.
-	 * @return whether the list of daemons is complete
-	 */
-	boolean isComplete() {
-		return this.firstUpdateNanos != null
-				&& this.nanoClock.getAsLong() - this.firstUpdateNanos > TimeUnit.MILLISECONDS.toNanos(REJOIN_MS);
-	}
-
 	/**
 	 * Selects daemons, preferring one from each other data centre. Successive calls
 	 * rotate through the known daemons.
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -16,6 +16,7 @@
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.peer.PeerLinks;
+import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
@@ -50,12 +51,6 @@
 	 */
 	private static final long MIN_REFRESH_INTERVAL_MS = 100;
 
-	/**
-	 * Interval in milliseconds at which copies are offered to the holders of their
-	 * shards; holders that know this daemon have requested them by then.
-	 */
-	private static final long OFFER_INTERVAL_MS = 500;
-
 	/**
 	 * Interval in milliseconds at which a leaving daemon checks for appends in progress.
 	 */
@@ -76,7 +71,7 @@
 
 	private final StoreHealth health;
 
-	private final CopyManager copies;
+	private final PeerLinks peers;
 
 	private final KnownMembers members;
 
@@ -113,19 +108,17 @@
 		this.joins = new JoinSequence(nanoClock, JOIN_INTERVAL_MS / 2);
 		this.self = self;
 		this.onShardsLost = onShardsLost;
+		this.peers = peers;
 		this.members = new KnownMembers(self, nanoClock);
 		this.holders = new ShardHolderTable(self);
 		this.health = new StoreHealth(nanoClock);
-		this.copies = new CopyManager(peers, this.members, this.health, self, nanoClock);
 		this.store = new RelayedStore(store, peers, this.members);
-		this.owned = new OwnedShards(loop, this.store, clock, nanoClock, this.health, this.copies, this::refresh);
+		this.owned = new OwnedShards(loop, this.store, clock, nanoClock, this.health, this::refresh, this::announce);
 	}
 
 	public void start() {
 		this.loop.scheduleAtFixedRate(this::join, 0, JOIN_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::readHolders, 0, HOLDERS_INTERVAL_MS, TimeUnit.MILLISECONDS);
-		this.loop.scheduleAtFixedRate(() -> this.copies.offer(this.holders.byShard()), OFFER_INTERVAL_MS,
-				OFFER_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this.owned::removeExpired, EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -204,23 +197,30 @@
 		}
 	}
 
+	// Without a notification, the previous holder would keep the shard until its next
+	// join or append.
+	private void announce(OwnedShard shard) {
+		PeerMessage fenced = new PeerMessage.ShardFenced(shard.number(), shard.epoch());
+		this.members.all().forEach((member) -> this.peers.sendOneWay(member.peerAddress(), fenced));
+	}
+
 	/**
 	 * Relinquishes a shard if another daemon has taken it over.
-	 * @param number number of the shard
-	 * @param epoch epoch of the other daemon's writer
+	 * @param fenced the notification of the other daemon
 	 */
-	void relinquishIfOlder(int number, long epoch) {
-		if (this.owned.relinquishIfOlder(number, epoch)) {
+	public void handle(PeerMessage.ShardFenced fenced) {
+		if (this.owned.relinquishIfOlder(fenced.shard(), fenced.epoch())) {
 			join();
 		}
 	}
 
 	/**
-	 * Returns the handler of requests from daemons that the store does not answer.
-	 * @return the service
+	 * Calls the store on behalf of a daemon whose own calls fail.
+	 * @param call the call
+	 * @param reply receives the answer
 	 */
-	public CopyService copyService() {
-		return new CopyService(this, this.copies, this.store);
+	public void relay(PeerMessage.StoreCall call, Consumer<PeerMessage> reply) {
+		this.store.handle(call, reply);
 	}
 
 	private void readHolders() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -55,8 +55,6 @@
 
 	private boolean confirmed = true;
 
-	private boolean awaitingCopies;
-
 	private boolean relinquished;
 
 	OwnedShard(EventLoop loop, StateStore store, InstantSource clock, int number, ShardWriter writer) {
@@ -69,83 +67,38 @@
 
 	/**
 	 * Acquires the shard: fences the previous writer, then loads all records.
-	 * @param collect requests copies that the store lacks from other daemons
+	 * @param onAcquired called when the shard is ready
 	 */
-	void acquire(Consumer<Consumer<CopyManager.Collected>> collect) {
+	void acquire(Runnable onAcquired) {
 		this.writer.open((stored) -> {
 			if (stored) {
-				read("", () -> collect.accept(this::activate));
+				read("", onAcquired);
 			}
 		});
 	}
 
-	private void activate(CopyManager.Collected copies) {
+	private void activate(Runnable onAcquired) {
 		if (this.relinquished) {
 			return;
 		}
 		this.ready = true;
-		if (!copies.complete()) {
-			this.awaitingCopies = true;
-			this.loop.schedule(() -> this.awaitingCopies = false, KnownMembers.REJOIN_MS, TimeUnit.MILLISECONDS);
-		}
-		int missing = merge(copies.records());
 		logger.atInfo()
 			.addKeyValue(LogFields.SHARD, this.number)
 			.addKeyValue(LogFields.EPOCH, this.writer.epoch())
 			.addKeyValue(LogFields.TURNS, this.state.turnCount())
-			.addKeyValue(LogFields.RECORDS, missing)
-			.addKeyValue(LogFields.ALL_REPLIED, copies.complete())
 			.log("shard acquired");
+		onAcquired.run();
 	}
 
-	/**
-	 * Adds copies of records that another daemon has kept.
-	 * @param copies records that may be missing
-	 * @return false if the shard is not ready
-	 */
-	boolean addCopies(List<KeyedValue> copies) {
-		if (!isReady()) {
-			return false;
-		}
-		int missing = merge(copies);
-		if (missing > 0) {
-			logger.atInfo()
-				.addKeyValue(LogFields.SHARD, this.number)
-				.addKeyValue(LogFields.RECORDS, missing)
-				.log("added copies from another daemon");
-		}
-		return true;
+	int number() {
+		return this.number;
 	}
 
 	long epoch() {
 		return this.writer.epoch();
 	}
 
-	private int merge(List<KeyedValue> copies) {
-		List<KeyedValue> missing = new ArrayList<>();
-		TurnShard copied = new TurnShard();
-		copies.forEach((copy) -> add(copy, copied));
-		copied.turns().forEach((turn) -> {
-			if (!this.state.contains(turn.id())) {
-				this.state.add(turn);
-				missing.add(ShardCodec.encodeTurn(turn));
-			}
-		});
-		copied.budgets().forEach((program, budget) -> {
-			ProgramBudget current = this.state.findBudget(program);
-			// Spending only increases, so the larger budget is the newer one.
-			if (current == null || current.spent() + current.reserved() < budget.spent() + budget.reserved()) {
-				this.state.restoreBudget(program, budget);
-				missing.add(ShardCodec.encodeBudget(program, budget));
-			}
-		});
-		if (!missing.isEmpty()) {
-			this.writer.append(missing, (stored) -> logger.debug("shard {}: copies stored: {}", this.number, stored));
-		}
-		return missing.size();
-	}
-
-	private void read(String after, Runnable done) {
+	private void read(String after, Runnable onAcquired) {
 		if (this.relinquished) {
 			return;
 		}
@@ -155,25 +108,25 @@
 					.addKeyValue(LogFields.SHARD, this.number)
 					.addKeyValue(LogFields.REASON, error.getMessage())
 					.log("failed to read a shard; retrying");
-				this.loop.schedule(() -> read(after, done), READ_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+				this.loop.schedule(() -> read(after, onAcquired), READ_RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
 				return;
 			}
 			String lastKey = after;
 			for (KeyedValue record : page.records()) {
 				lastKey = record.key();
-				add(record, this.state);
+				add(record);
 			}
 			if (page.hasMore()) {
-				read(lastKey, done);
+				read(lastKey, onAcquired);
 				return;
 			}
-			done.run();
+			activate(onAcquired);
 		});
 	}
 
-	private void add(KeyedValue record, TurnShard target) {
+	private void add(KeyedValue record) {
 		try {
-			ShardCodec.decode(record, target);
+			ShardCodec.decode(record, this.state);
 		}
 		catch (IOException ex) {
 			logger.warn("shard {}: skipping a damaged record: {}", this.number, String.valueOf(ex.getMessage()));
@@ -186,11 +139,10 @@
 
 	/**
 	 * Returns whether all turns of the shard are loaded.
-	 * @return false while another daemon may have held the shard in the meantime or may
-	 * have copies of its turns
+	 * @return false while another daemon may have held the shard in the meantime
 	 */
 	boolean isComplete() {
-		return isReady() && this.confirmed && !this.awaitingCopies;
+		return isReady() && this.confirmed;
 	}
 
 	/**
@@ -214,12 +166,15 @@
 	}
 
 	/**
-	 * Relinquishes the shard.
-	 * @return records that the store may not contain
+	 * Repeats the append in progress, because the store has become available again.
 	 */
-	List<KeyedValue> relinquish() {
+	void resend() {
+		this.writer.resend();
+	}
+
+	void relinquish() {
 		this.relinquished = true;
-		return this.writer.close();
+		this.writer.close();
 	}
 
 	@Nullable List<TurnRecord> findChain(String turn) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShards.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShards.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.IntPredicate;
 import java.util.function.LongSupplier;
 
@@ -35,10 +36,10 @@
 
 	private final StoreHealth health;
 
-	private final CopyManager copies;
-
 	private final Runnable onFenced;
 
+	private final Consumer<OwnedShard> onAcquired;
+
 	private final Map<Integer, OwnedShard> byNumber = new HashMap<>();
 
 	private long acquisitions;
@@ -50,18 +51,18 @@
 	 * @param clock wall clock
 	 * @param nanoClock monotonic clock in nanoseconds
 	 * @param health availability of the store
-	 * @param copies copies of records on other daemons
 	 * @param onFenced called when another daemon has taken over a shard
+	 * @param onAcquired called when a shard is ready
 	 */
 	OwnedShards(EventLoop loop, StateStore store, InstantSource clock, LongSupplier nanoClock, StoreHealth health,
-			CopyManager copies, Runnable onFenced) {
+			Runnable onFenced, Consumer<OwnedShard> onAcquired) {
 		this.loop = loop;
 		this.store = store;
 		this.clock = clock;
 		this.nanoClock = nanoClock;
 		this.health = health;
-		this.copies = copies;
 		this.onFenced = onFenced;
+		this.onAcquired = onAcquired;
 	}
 
 	/**
@@ -77,14 +78,13 @@
 
 	private void acquire(int number, long generation) {
 		long epoch = 2 * (generation * ACQUISITIONS_PER_GENERATION + this.acquisitions++ % ACQUISITIONS_PER_GENERATION);
-		ShardWriter writer = new ShardWriter(this.loop, this.store, this.health, this.copies, this.nanoClock, number,
-				epoch, () -> {
-					relinquish(number);
-					this.onFenced.run();
-				});
+		ShardWriter writer = new ShardWriter(this.loop, this.store, this.health, this.nanoClock, number, epoch, () -> {
+			relinquish(number);
+			this.onFenced.run();
+		});
 		OwnedShard shard = new OwnedShard(this.loop, this.store, this.clock, number, writer);
 		this.byNumber.put(number, shard);
-		shard.acquire((done) -> this.copies.collect(number, epoch, done));
+		shard.acquire(() -> this.onAcquired.accept(shard));
 	}
 
 	/**
@@ -117,7 +117,7 @@
 	private void relinquish(int number) {
 		OwnedShard shard = this.byNumber.remove(number);
 		if (shard != null) {
-			this.copies.keepOwnRecords(number, shard.epoch(), shard.relinquish());
+			shard.relinquish();
 		}
 	}
 
@@ -125,6 +125,13 @@
 		this.byNumber.values().forEach(OwnedShard::confirmOwnership);
 	}
 
+	/**
+	 * Repeats the appends in progress, because the store has become available again.
+	 */
+	void resend() {
+		this.byNumber.values().forEach(OwnedShard::resend);
+	}
+
 	void removeExpired() {
 		this.byNumber.values().forEach(OwnedShard::removeExpired);
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -70,8 +70,9 @@
 	private void reserve(OwnedShard shard, PeerMessage.OpenTurn request, List<TurnRecord> chain,
 			Consumer<PeerMessage> reply) {
 		boolean programStarted = shard.isProgramStarted(request.program());
+		boolean storeAvailable = !this.membership.isStoreUnavailable();
 		boolean reserved = shard.reserve(request, (stored) -> reply.accept(new PeerMessage.ReservationStored(stored)));
-		reply.accept(reserved ? new PeerMessage.TurnOpened(TurnStatus.OK, programStarted, prompt(chain))
+		reply.accept(reserved ? new PeerMessage.TurnOpened(TurnStatus.OK, programStarted, storeAvailable, prompt(chain))
 				: PeerMessage.TurnOpened.refused(TurnStatus.BUDGET_SPENT));
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardHolderTable.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardHolderTable.java
@@ -61,10 +61,6 @@
 		return this.holders.values();
 	}
 
-	Map<Integer, MemberName> byShard() {
-		return this.holders;
-	}
-
 	boolean isHeldBySelf(int shard) {
 		return this.self.equals(this.holders.get(shard));
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -21,8 +21,8 @@
  * Appends the records of one shard in one epoch, one call at a time. Records that arrive
  * during a call are sent with the next one; only the newest record of each key is
  * written. A call whose outcome is unknown is repeated with the same sequence number
- * until the store answers. While the store is unavailable, records count as durable once
- * other daemons keep copies of them.
+ * until the store answers. Records are durable only once the store has acknowledged them,
+ * because all VMs can be lost at the same time.
  */
 final class ShardWriter {
 
@@ -31,12 +31,6 @@
 	/** Delay in milliseconds before a failed append is retried. */
 	private static final long RETRY_DELAY_MS = 60;
 
-	/**
-	 * Interval in milliseconds at which pending records are sent to other daemons while
-	 * the store is unavailable.
-	 */
-	private static final long COPY_INTERVAL_MS = 50;
-
 	/**
 	 * Maximum number of records in one call; 256 turns of a few KB stay below the store's
 	 * limit on the size of a call.
@@ -55,8 +49,6 @@
 
 	private final StoreHealth health;
 
-	private final CopySender copies;
-
 	private final LongSupplier nanoClock;
 
 	private final int shard;
@@ -67,11 +59,11 @@
 
 	private final Map<String, KeyedValue> pending = new LinkedHashMap<>();
 
-	private final List<Waiter> waiters = new ArrayList<>();
+	private final List<Consumer<Boolean>> waiters = new ArrayList<>();
 
 	private List<KeyedValue> inFlight = List.of();
 
-	private List<Waiter> inFlightWaiters = List.of();
+	private List<Consumer<Boolean>> inFlightWaiters = List.of();
 
 	private long batchStartNanos;
 
@@ -81,16 +73,17 @@
 
 	private boolean callInProgress;
 
-	private boolean copyScheduled;
+	private long completedCalls;
+
+	private long attempts;
 
 	private boolean closed;
 
-	ShardWriter(EventLoop loop, StateStore store, StoreHealth health, CopySender copies, LongSupplier nanoClock,
-			int shard, long epoch, Runnable onFenced) {
+	ShardWriter(EventLoop loop, StateStore store, StoreHealth health, LongSupplier nanoClock, int shard, long epoch,
+			Runnable onFenced) {
 		this.loop = loop;
 		this.store = store;
 		this.health = health;
-		this.copies = copies;
 		this.nanoClock = nanoClock;
 		this.shard = shard;
 		this.epoch = epoch;
@@ -104,7 +97,7 @@
 	 */
 	void open(Consumer<Boolean> done) {
 		this.callInProgress = true;
-		this.inFlightWaiters = List.of(new Waiter(List.of(), done));
+		this.inFlightWaiters = List.of(done);
 		send();
 	}
 
@@ -133,10 +126,17 @@
 			this.pending.remove(record.key());
 			this.pending.put(record.key(), record);
 		});
-		this.waiters.add(new Waiter(records, done));
+		this.waiters.add(done);
 		flush();
-		if (this.copies.isCopyRequired()) {
-			sendCopies();
+	}
+
+	/**
+	 * Repeats the call in progress without waiting for its outcome, because the store has
+	 * become available again.
+	 */
+	void resend() {
+		if (this.callInProgress) {
+			send();
 		}
 	}
 
@@ -154,23 +154,16 @@
 
 	/**
 	 * Closes the writer and notifies all waiters that their records may not be durable.
-	 * @return records that the store may not contain
 	 */
-	List<KeyedValue> close() {
-		Map<String, KeyedValue> unstored = new LinkedHashMap<>();
-		if (this.opened && !this.closed) {
-			this.inFlight.forEach((record) -> unstored.put(record.key(), record));
-			unstored.putAll(this.pending);
-		}
+	void close() {
 		this.closed = true;
-		List<Waiter> abandoned = new ArrayList<>(this.inFlightWaiters);
+		List<Consumer<Boolean>> abandoned = new ArrayList<>(this.inFlightWaiters);
 		abandoned.addAll(this.waiters);
 		this.inFlight = List.of();
 		this.inFlightWaiters = List.of();
 		this.waiters.clear();
 		this.pending.clear();
-		abandoned.forEach((waiter) -> waiter.complete(false));
-		return List.copyOf(unstored.values());
+		abandoned.forEach((waiter) -> waiter.accept(false));
 	}
 
 	private void flush() {
@@ -199,34 +192,46 @@
 		if (this.closed) {
 			return;
 		}
+		long call = this.completedCalls;
+		long attempt = ++this.attempts;
 		this.store.append(this.shard, currentEpoch(), this.sequence, this.inFlight).whenComplete((outcome, error) -> {
-			if (this.closed) {
+			if (this.closed || call != this.completedCalls) {
 				return;
 			}
-			if (error != null) {
-				logger.atWarn()
-					.addKeyValue(LogFields.SHARD, this.shard)
-					.addKeyValue(LogFields.EPOCH, currentEpoch())
-					.addKeyValue(LogFields.REASON, error.getMessage())
-					.log("append failed; retrying");
-				this.loop.schedule(this::send, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
-				scheduleCopy();
-				return;
+			if (error == null) {
+				handleOutcome(outcome);
 			}
-			this.health.recordAnswer();
-			if (outcome == AppendOutcome.FENCED) {
-				logger.atWarn()
-					.addKeyValue(LogFields.SHARD, this.shard)
-					.addKeyValue(LogFields.EPOCH, this.epoch)
-					.log("append rejected: another daemon has taken over the shard");
-				this.onFenced.run();
-				return;
+			else if (attempt == this.attempts) {
+				scheduleRetry(error);
 			}
-			onStored();
 		});
-		if (this.opened) {
-			scheduleCopy();
+	}
+
+	private void scheduleRetry(Throwable error) {
+		logger.atWarn()
+			.addKeyValue(LogFields.SHARD, this.shard)
+			.addKeyValue(LogFields.EPOCH, currentEpoch())
+			.addKeyValue(LogFields.REASON, error.getMessage())
+			.log("append failed; retrying");
+		long failed = this.attempts;
+		this.loop.schedule(() -> {
+			if (failed == this.attempts) {
+				send();
+			}
+		}, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void handleOutcome(AppendOutcome outcome) {
+		this.health.recordAnswer();
+		if (outcome == AppendOutcome.STORED) {
+			onStored();
+			return;
 		}
+		logger.atWarn()
+			.addKeyValue(LogFields.SHARD, this.shard)
+			.addKeyValue(LogFields.EPOCH, this.epoch)
+			.log("append rejected: another daemon has taken over the shard");
+		this.onFenced.run();
 	}
 
 	private void onStored() {
@@ -235,11 +240,12 @@
 		}
 		this.sequence = this.opened ? this.sequence + 1 : 0;
 		this.opened = true;
+		this.completedCalls++;
 		this.callInProgress = false;
-		List<Waiter> completed = this.inFlightWaiters;
+		List<Consumer<Boolean>> completed = this.inFlightWaiters;
 		this.inFlight = List.of();
 		this.inFlightWaiters = List.of();
-		completed.forEach((waiter) -> waiter.complete(true));
+		completed.forEach((waiter) -> waiter.accept(true));
 		flush();
 	}
 
@@ -255,69 +261,4 @@
 		}
 	}
 
-	private void scheduleCopy() {
-		if (this.copyScheduled || !this.opened) {
-			return;
-		}
-		this.copyScheduled = true;
-		this.loop.schedule(() -> {
-			this.copyScheduled = false;
-			if (!this.callInProgress || this.closed) {
-				return;
-			}
-			if (this.copies.isCopyRequired()) {
-				sendCopies();
-			}
-			scheduleCopy();
-		}, COPY_INTERVAL_MS, TimeUnit.MILLISECONDS);
-	}
-
-	private void sendCopies() {
-		List<Waiter> unnotified = new ArrayList<>(this.inFlightWaiters);
-		unnotified.addAll(this.waiters);
-		unnotified.removeIf((waiter) -> waiter.notified || waiter.copying);
-		if (unnotified.isEmpty() || !this.opened) {
-			return;
-		}
-		Map<String, KeyedValue> records = new LinkedHashMap<>();
-		unnotified.forEach((waiter) -> {
-			waiter.copying = true;
-			waiter.records.forEach((record) -> records.put(record.key(), record));
-		});
-		this.copies.send(this.shard, this.epoch, List.copyOf(records.values()),
-				(kept) -> unnotified.forEach((waiter) -> {
-					waiter.copying = false;
-					if (kept && !this.closed) {
-						waiter.complete(true);
-					}
-				}));
-	}
-
-	/**
-	 * Callback that is notified once its records are durable or lost.
-	 */
-	private static final class Waiter {
-
-		private final List<KeyedValue> records;
-
-		private final Consumer<Boolean> done;
-
-		private boolean notified;
-
-		private boolean copying;
-
-		Waiter(List<KeyedValue> records, Consumer<Boolean> done) {
-			this.records = records;
-			this.done = done;
-		}
-
-		void complete(boolean durable) {
-			if (!this.notified) {
-				this.notified = true;
-				this.done.accept(durable);
-			}
-		}
-
-	}
-
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -28,7 +28,6 @@
 				(in) -> new PeerMessage.Hello(in.unpackString()));
 		addTurns();
 		addSlots();
-		addCopies();
 		addRelays();
 	}
 
@@ -43,10 +42,12 @@
 		}, (in) -> new PeerMessage.OpenTurn(in.unpackString(), in.unpackString(), FieldCodec.readNullableString(in),
 				in.unpackLong(), in.unpackInt(), in.unpackLong()));
 		add(2, PeerMessage.TurnOpened.class, (out, opened) -> {
-			out.packInt(opened.status().ordinal()).packBoolean(opened.programStarted());
+			out.packInt(opened.status().ordinal())
+				.packBoolean(opened.programStarted())
+				.packBoolean(opened.storeAvailable());
 			FieldCodec.writeBytes(out, opened.prompt());
 		}, (in) -> new PeerMessage.TurnOpened(TurnStatus.values()[in.unpackInt()], in.unpackBoolean(),
-				FieldCodec.readBytes(in)));
+				in.unpackBoolean(), FieldCodec.readBytes(in)));
 		add(3, PeerMessage.ReservationStored.class, (out, stored) -> out.packBoolean(stored.stored()),
 				(in) -> new PeerMessage.ReservationStored(in.unpackBoolean()));
 		add(4, PeerMessage.CloseTurn.class, (out, close) -> {
@@ -62,6 +63,8 @@
 			FieldCodec.writeInts(out, found.searchedShards());
 			FieldCodec.writeChain(out, found.chain());
 		}, (in) -> new PeerMessage.TurnFound(in.unpackLong(), FieldCodec.readInts(in), FieldCodec.readChain(in)));
+		add(29, PeerMessage.ShardFenced.class, (out, fenced) -> out.packInt(fenced.shard()).packLong(fenced.epoch()),
+				(in) -> new PeerMessage.ShardFenced(in.unpackInt(), in.unpackLong()));
 		add(12, PeerMessage.AssignmentChanged.class, (out, changed) -> {
 		}, (in) -> new PeerMessage.AssignmentChanged());
 	}
@@ -91,27 +94,6 @@
 		}, (in) -> new PeerMessage.SlotQueued());
 	}
 
-	private static void addCopies() {
-		add(17, PeerMessage.KeepCopies.class, (out, keep) -> {
-			out.packInt(keep.shard()).packLong(keep.epoch());
-			FieldCodec.writeRecords(out, keep.records());
-		}, (in) -> new PeerMessage.KeepCopies(in.unpackInt(), in.unpackLong(), FieldCodec.readRecords(in)));
-		add(18, PeerMessage.CopiesKept.class, (out, kept) -> out.packBoolean(kept.kept()),
-				(in) -> new PeerMessage.CopiesKept(in.unpackBoolean()));
-		add(19, PeerMessage.CollectCopies.class,
-				(out, collect) -> out.packInt(collect.shard()).packLong(collect.epoch()),
-				(in) -> new PeerMessage.CollectCopies(in.unpackInt(), in.unpackLong()));
-		add(20, PeerMessage.CopiesFound.class, (out, found) -> FieldCodec.writeRecords(out, found.records()),
-				(in) -> new PeerMessage.CopiesFound(FieldCodec.readRecords(in)));
-		add(25, PeerMessage.OfferCopies.class, (out, offer) -> {
-			out.packInt(offer.shard());
-			FieldCodec.writeRecords(out, offer.records());
-		}, (in) -> new PeerMessage.OfferCopies(in.unpackInt(), FieldCodec.readRecords(in)));
-		add(28, PeerMessage.CopiesReceived.class,
-				(out, received) -> out.packInt(received.shard()).packInt(received.recordCount()),
-				(in) -> new PeerMessage.CopiesReceived(in.unpackInt(), in.unpackInt()));
-	}
-
 	private static void addRelays() {
 		add(15, PeerMessage.RelayHolders.class, (out, relay) -> {
 		}, (in) -> new PeerMessage.RelayHolders());
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -63,15 +63,17 @@
 	 *
 	 * @param status outcome
 	 * @param programStarted whether the program has opened a turn before
+	 * @param storeAvailable false if the reservation waits for the store to become
+	 * available again
 	 * @param prompt concatenated inputs and outputs of the chain, oldest first
 	 */
-	record TurnOpened(TurnStatus status, boolean programStarted, byte[] prompt) implements PeerMessage {
+	record TurnOpened(TurnStatus status, boolean programStarted, boolean storeAvailable,
+			byte[] prompt) implements PeerMessage {
 
 		private static final byte[] NO_PROMPT = {};
 
 		/**
-		 * Time limit in milliseconds; if the store is unavailable, it takes up to 1 s
-		 * until copies are kept.
+		 * Time limit in milliseconds; the reservation is requested again after that.
 		 */
 		private static final long RESERVATION_TIMEOUT_MS = 1500;
 
@@ -81,7 +83,7 @@
 		 * @return the answer
 		 */
 		public static TurnOpened refused(TurnStatus status) {
-			return new TurnOpened(status, false, NO_PROMPT);
+			return new TurnOpened(status, false, true, NO_PROMPT);
 		}
 
 		@Override
@@ -192,62 +194,6 @@
 	record HoldSlot(String pool, SlotRequest request, String server) implements PeerMessage {
 	}
 
-	/**
-	 * Requests that a daemon keep copies of records while the store is unavailable.
-	 * Answered by {@link CopiesKept}.
-	 *
-	 * @param shard number of the shard
-	 * @param epoch epoch of its writer
-	 * @param records records that the store may not contain
-	 */
-	record KeepCopies(int shard, long epoch, List<KeyedValue> records) implements PeerMessage {
-	}
-
-	/**
-	 * Confirms the receipt of {@link CopiesFound}. Not answered.
-	 *
-	 * @param shard number of the shard
-	 * @param recordCount number of records in the answer
-	 */
-	record CopiesReceived(int shard, int recordCount) implements PeerMessage {
-	}
-
-	/**
-	 * Sends copies to the holder of their shard. Answered by {@link CopiesKept}.
-	 *
-	 * @param shard number of the shard
-	 * @param records records that the store may not contain
-	 */
-	record OfferCopies(int shard, List<KeyedValue> records) implements PeerMessage {
-	}
-
-	/**
-	 * Answer to {@link KeepCopies} and {@link OfferCopies}.
-	 *
-	 * @param kept false if the store answers this daemon, if the shard was taken over, or
-	 * if this daemon does not hold the shard that the copies were offered for
-	 */
-	record CopiesKept(boolean kept) implements PeerMessage {
-	}
-
-	/**
-	 * Requests all copies of a shard that the sender has taken over. Answered by
-	 * {@link CopiesFound}.
-	 *
-	 * @param shard number of the shard
-	 * @param epoch epoch of its new writer
-	 */
-	record CollectCopies(int shard, long epoch) implements PeerMessage {
-	}
-
-	/**
-	 * Answer to {@link CollectCopies}.
-	 *
-	 * @param records the newest record of each key
-	 */
-	record CopiesFound(List<KeyedValue> records) implements PeerMessage {
-	}
-
 	/**
 	 * Requests an append on behalf of a daemon whose own calls to the store fail.
 	 * Answered by {@link AppendRelayed}.
@@ -326,6 +272,16 @@
 	record AssignmentChanged() implements PeerMessage {
 	}
 
+	/**
+	 * Notifies a daemon that the sender has fenced all earlier writers of a shard. Not
+	 * answered.
+	 *
+	 * @param shard number of the shard
+	 * @param epoch epoch of the new writer
+	 */
+	record ShardFenced(int shard, long epoch) implements PeerMessage {
+	}
+
 	/**
 	 * Notifies a daemon that a backend server was lost while it ran a request. Not
 	 * answered.
--- a/gateway/src/main/java/org/hemlockgw/gateway/telemetry/LogFields.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/telemetry/LogFields.java
@@ -98,12 +98,6 @@
 	 */
 	public static final String STORE_WAIT_MS = "store_wait_ms";
 
-	/** Keys of records. */
-	public static final String KEYS = "keys";
-
-	/** Number of daemons that keep a copy. */
-	public static final String COPIES = "copies";
-
 	/** Digest of a request's path and body. */
 	public static final String DIGEST = "digest";
 
