--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -145,11 +145,20 @@
 	 * @param key key
 	 * @param value value; empty to drop the key
 	 */
-	public synchronized void put(String topic, String key, String value) {
+	public void put(String topic, String key, String value) {
+		put(topic, key, value.getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Writes a record whose value need not be text.
+	 * @param topic a keyed topic
+	 * @param key key
+	 * @param value value; empty to drop the key
+	 */
+	public synchronized void put(String topic, String key, byte[] value) {
 		byte[] name = key.getBytes(StandardCharsets.UTF_8);
-		byte[] text = value.getBytes(StandardCharsets.UTF_8);
-		ByteBuffer record = ByteBuffer.allocate(Integer.BYTES + 1 + name.length + text.length);
-		record.putInt(1 + name.length + text.length).put((byte) name.length).put(name).put(text);
+		ByteBuffer record = ByteBuffer.allocate(Integer.BYTES + 1 + name.length + value.length);
+		record.putInt(1 + name.length + value.length).put((byte) name.length).put(name).put(value);
 		partition(topic, 0).append(null, 0, 0, record.array());
 		notifyAll();
 	}
