Separate the connections of the faulty stand-in engine from its responses

Change: RawEngine accepts connections, reads requests and lets a script write the bytes of the answers. SpoiltEngine is one such script; tests can pass their own.

--- a/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
@@ -1,27 +1,14 @@
 package org.hemlockgw.standins.platform;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Stand-in of an engine whose answers are no proper HTTP. It writes bytes itself, one
- * thread for each connection.
+ * Stand-in of an engine whose answers are no proper HTTP. It writes its bytes itself.
  */
 public final class SpoiltEngine implements AutoCloseable {
 
@@ -44,9 +31,7 @@
 
 	private static final String FILLER = "x".repeat(4000);
 
-	private final ServerSocket socket;
-
-	private final Map<Socket, String> previousRequest = new ConcurrentHashMap<>();
+	private final RawEngine engine;
 
 	private final Answer answer;
 
@@ -54,17 +39,13 @@
 
 	private final List<Long> brokenOffNanos = new CopyOnWriteArrayList<>();
 
-	private final Set<Socket> open = ConcurrentHashMap.newKeySet();
-
 	public SpoiltEngine(Answer answer) throws IOException {
 		this.answer = answer;
-		this.socket = new ServerSocket();
-		this.socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-		start(this::accept);
+		this.engine = new RawEngine(this::run, (answer == Answer.EARLY) ? whole("early") : "");
 	}
 
 	public String address() {
-		return "127.0.0.1:" + this.socket.getLocalPort();
+		return this.engine.address();
 	}
 
 	/**
@@ -83,127 +64,57 @@
 		return List.copyOf(this.brokenOffNanos);
 	}
 
-	private static void start(Runnable task) {
-		Thread thread = new Thread(task, "spoilt-engine");
-		thread.setDaemon(true);
-		thread.start();
-	}
-
-	private void accept() {
-		while (!this.socket.isClosed()) {
-			try {
-				Socket connection = this.socket.accept();
-				this.open.add(connection);
-				start(() -> serve(connection));
-			}
-			catch (IOException ex) {
-				logger.debug("no longer accepting: {}", ex.getMessage());
-			}
-		}
-	}
-
-	private void serve(Socket connection) {
-		try (connection) {
-			OutputStream out = connection.getOutputStream();
-			if (this.answer == Answer.EARLY) {
-				write(out, whole("early"));
-			}
-			BufferedReader in = new BufferedReader(
-					new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
-			Request request = read(in);
-			while (request != null) {
-				this.runs.add(request.id());
-				if (!answer(out, request, connection)) {
-					return;
-				}
-				request = read(in);
-			}
-		}
-		catch (IOException ex) {
-			logger.debug("connection ended: {}", ex.getMessage());
-		}
-		finally {
-			this.open.remove(connection);
-		}
+	private boolean run(RawEngine.Connection out, RawEngine.Request request) throws IOException {
+		this.runs.add(request.id());
+		return answer(out, request);
 	}
 
-	// Returns null at the end of the connection.
-	private static @Nullable Request read(BufferedReader in) throws IOException {
-		String id = "";
-		int length = 0;
-		String line = in.readLine();
-		if (line == null) {
-			return null;
-		}
-		while (line != null && !line.isEmpty()) {
-			String[] parts = line.split(":", 2);
-			if (parts[0].equalsIgnoreCase("X-Request-Id")) {
-				id = parts[1].trim();
-			}
-			else if (parts[0].equalsIgnoreCase("Content-Length")) {
-				length = Integer.parseInt(parts[1].trim());
-			}
-			line = in.readLine();
-		}
-		char[] body = new char[length];
-		for (int read = 0; read < length;) {
-			int count = in.read(body, read, length - read);
-			if (count < 0) {
-				return null;
-			}
-			read += count;
-		}
-		return new Request(id, new String(body));
-	}
-
-	private boolean answer(OutputStream out, Request received, Socket connection) throws IOException {
+	private boolean answer(RawEngine.Connection out, RawEngine.Request received) throws IOException {
 		String request = received.id();
 		switch (this.answer) {
-			case SILENT -> hold(connection);
-			case NO_HTTP -> write(out, "this is no answer\r\n\r\n");
-			case SHORT -> write(out, head(request) + "Content-Length: 100\r\n\r\nbegin");
+			case SILENT -> hold(out);
+			case NO_HTTP -> out.write("this is no answer\r\n\r\n");
+			case SHORT -> out.write(head(request) + "Content-Length: 100\r\n\r\nbegin");
 			case RESET -> {
-				write(out, head(request) + "Content-Type: text/plain\r\n\r\nbegin");
-				connection.setSoLinger(true, 0);
+				out.write(head(request) + "Content-Type: text/plain\r\n\r\nbegin");
+				out.resetOnClose();
 			}
-			case NO_LENGTH -> write(out, head(request) + "Connection: close\r\n\r\nbody of " + request);
+			case NO_LENGTH -> out.write(head(request) + "Connection: close\r\n\r\nbody of " + request);
 			case TWICE -> {
-				write(out, whole(request) + whole(request));
+				out.write(whole(request) + whole(request));
 				return true;
 			}
 			case FOREIGN_ID -> {
-				write(out, whole("another"));
+				out.write(whole("another"));
 				return true;
 			}
 			case EARLY -> {
-				write(out, whole(request));
+				out.write(whole(request));
 				return true;
 			}
 			case CRASHING -> {
 				if (received.body().equals(POISON)) {
-					connection.setSoLinger(true, 0);
+					out.resetOnClose();
 					return false;
 				}
-				write(out, whole(request));
+				out.write(whole(request));
 				return true;
 			}
 			case ENDLESS -> stream(out, request);
 			case LATE_COPY, LATE_COPY_WITHOUT_ID -> {
-				String previous = this.previousRequest.put(connection, request);
-				if (previous != null) {
-					String copy = whole(previous);
-					write(out, (this.answer == Answer.LATE_COPY) ? copy : withoutId(copy, previous));
-				}
-				write(out, whole(request));
+				out.write(out.earlierAnswer() + whole(request));
+				out.keepAnswer((this.answer == Answer.LATE_COPY) ? whole(request) : withoutId(whole(request), request));
 				return true;
 			}
 			case BYTES_AFTER -> {
-				write(out, whole(request) + "more");
+				out.write(whole(request) + "more");
 				return true;
 			}
 			case BYTES_LATER -> {
-				write(out, whole(request));
-				start(() -> writeLater(out, "more"));
+				out.write(whole(request));
+				Thread writer = new Thread(() -> writeLater(out, "more"), "late-writer");
+				writer.setDaemon(true);
+				writer.start();
 				return true;
 			}
 			case LINE_WITHOUT_END -> writeWithoutEnd(out, "", FILLER);
@@ -216,11 +127,11 @@
 			case EVENTS_AT_FULL_SPEED -> writeWithoutEnd(out, head(request) + "Content-Type: text/event-stream\r\n\r\n",
 					"data: " + FILLER + "\n\n");
 			case COMMENTS -> {
-				write(out, head(request) + "Content-Type: text/event-stream\r\n\r\n");
+				out.write(head(request) + "Content-Type: text/event-stream\r\n\r\n");
 				writeSlowly(out, ":\n", Integer.MAX_VALUE);
 			}
 			case SLOW_EVENTS -> {
-				write(out, head(request) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
+				out.write(head(request) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
 				writeSlowly(out, "id: 1\ndata: slow\n\n", SLOW_EVENT_COUNT);
 			}
 		}
@@ -231,28 +142,28 @@
 		return response.replace("X-Request-Id: " + request + "\r\n", "");
 	}
 
-	private static void writeLater(OutputStream out, String text) {
+	private static void writeLater(RawEngine.Connection out, String text) {
 		try {
 			Thread.sleep(LATER_MS);
-			write(out, text);
+			out.write(text);
 		}
 		catch (IOException | InterruptedException ex) {
 			logger.debug("late bytes were not written: {}", ex.getMessage());
 		}
 	}
 
-	private void writeWithoutEnd(OutputStream out, String begin, String repeated) throws IOException {
-		write(out, begin);
-		while (!this.socket.isClosed()) {
-			write(out, repeated);
+	private void writeWithoutEnd(RawEngine.Connection out, String begin, String repeated) throws IOException {
+		out.write(begin);
+		while (!this.engine.isClosed()) {
+			out.write(repeated);
 		}
 	}
 
-	private void writeSlowly(OutputStream out, String text, int count) throws IOException {
+	private void writeSlowly(RawEngine.Connection out, String text, int count) throws IOException {
 		try {
-			for (int i = 0; i < count && !this.socket.isClosed(); i++) {
+			for (int i = 0; i < count && !this.engine.isClosed(); i++) {
 				Thread.sleep(SLOW_MS);
-				write(out, text);
+				out.write(text);
 			}
 		}
 		catch (InterruptedException ex) {
@@ -260,17 +171,17 @@
 		}
 	}
 
-	private void hold(Socket connection) throws IOException {
-		if (connection.getInputStream().read() < 0) {
+	private void hold(RawEngine.Connection connection) throws IOException {
+		if (connection.awaitClose()) {
 			this.brokenOffNanos.add(System.nanoTime());
 		}
 	}
 
-	private void stream(OutputStream out, String request) throws IOException {
-		write(out, head(request) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
+	private void stream(RawEngine.Connection out, String request) throws IOException {
+		out.write(head(request) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n");
 		try {
-			for (int event = 1; !this.socket.isClosed(); event++) {
-				write(out, "id: " + event + "\ndata: " + request + "-" + event + "\n\n");
+			for (int event = 1; !this.engine.isClosed(); event++) {
+				out.write("id: " + event + "\ndata: " + request + "-" + event + "\n\n");
 				Thread.sleep(EVENT_MS);
 			}
 		}
@@ -293,21 +204,9 @@
 		return head(request) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
 	}
 
-	private static void write(OutputStream out, String text) throws IOException {
-		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
-		out.flush();
-	}
-
 	@Override
 	public void close() throws IOException {
-		this.socket.close();
-		for (Socket connection : this.open) {
-			connection.close();
-		}
-	}
-
-	private record Request(String id, String body) {
-
+		this.engine.close();
 	}
 
 	/**
