Treat a response as broken off if its request could not be written

Seen: callers could get a close-delimited response as complete although its connection was reset. Cause: if a connection is reset while a long request is still being written, the failed write consumes the socket's error. The channel is closed without an exception for the reader, the decoder takes that for the end of the body, and the call completes. Change: a failed write marks the connection as reset, as a failed read does. The write's future completes before the channel becomes inactive, so the mark is set in time. Ruled out: failing the call in the write's listener, which would discard a response with a length that is already complete. A reset without pending writes was handled before and is covered too.

--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
@@ -73,7 +73,9 @@
 		else {
 			body.release();
 		}
-		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+		// A failed write consumes the error that reading would report otherwise.
+		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+			.addListener((written) -> this.connectionReset |= !written.isSuccess());
 	}
 
 	boolean isUsable(long nowNanos) {
--- a/gateway/src/test/java/org/hemlockgw/gateway/net/ResponseFramingTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/net/ResponseFramingTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -38,6 +40,11 @@
 	/** Identifier of requests that are answered in full. */
 	private static final String WHOLE = "whole";
 
+	/** More than the buffers of a connection hold. */
+	private static final int LARGE_BODY_BYTES = 64 << 20;
+
+	private static final String CLOSE_DELIMITED = "HTTP/1.1 200 OK\r\n\r\nbegin";
+
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final EventLoop loop = (EventLoop) this.group.next();
@@ -46,6 +53,8 @@
 
 	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
 
+	private final CountDownLatch headReceived = new CountDownLatch(1);
+
 	private volatile String answer = "";
 
 	@AfterEach
@@ -66,17 +75,54 @@
 			for (int length = 0; length < head.length(); length++) {
 				this.answer = head.substring(0, length);
 				if (kept) {
-					send(engine, WHOLE);
+					send(engine, WHOLE, 0);
 					assertThat(nextEvent()).isEqualTo("head");
 					assertThat(nextEvent()).isEqualTo("complete");
 				}
-				send(engine, "cut");
+				send(engine, "cut", 0);
 				assertWithMessage("'%s'", this.answer).that(nextEvent()).startsWith("failed");
 			}
 		}
 		assertThat(this.events).isEmpty();
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "false, complete", "true, failed" })
+	void resetBreaksOffCloseDelimitedResponse(boolean reset, String outcome) throws Exception {
+		this.answer = CLOSE_DELIMITED;
+		try (RawEngine engine = new RawEngine((connection, request) -> answer(connection, request, reset))) {
+			send(engine, "begun", 0);
+			assertThat(nextEvent()).isEqualTo("head");
+			assertThat(nextEvent()).startsWith(outcome);
+		}
+	}
+
+	// Guards against a reset that is noticed while the request is written and ends the
+	// response as if it were complete.
+	@Test
+	void resetDuringRequestBreaksOffCloseDelimitedResponse() throws Exception {
+		this.answer = CLOSE_DELIMITED;
+		try (RawEngine engine = new RawEngine((connection, request) -> {
+			connection.write(this.answer);
+			awaitHead();
+			connection.resetOnClose();
+			return false;
+		})) {
+			send(engine, "begun", LARGE_BODY_BYTES);
+			assertThat(nextEvent()).isEqualTo("head");
+			assertThat(nextEvent()).startsWith("failed");
+		}
+	}
+
+	private void awaitHead() throws IOException {
+		try {
+			assertThat(this.headReceived.await(WAIT_TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("interrupted", ex);
+		}
+	}
+
 	private boolean answer(RawEngine.Connection connection, RawEngine.Request request, boolean reset)
 			throws IOException {
 		if (request.id().equals(WHOLE)) {
@@ -90,10 +136,12 @@
 		return false;
 	}
 
-	private void send(RawEngine engine, String id) throws Exception {
+	// The head announces no body, so the engine does not read it.
+	private void send(RawEngine engine, String id, int bodyBytes) throws Exception {
 		HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
 		head.headers().set("X-Request-Id", id);
-		this.loop.submit(() -> this.connections.send(engine.address(), head, Unpooled.EMPTY_BUFFER, new Recorder()))
+		ByteBuf body = Unpooled.wrappedBuffer(new byte[bodyBytes]);
+		this.loop.submit(() -> this.connections.send(engine.address(), head, body, new Recorder()))
 			.get(WAIT_TIMEOUT_S, TimeUnit.SECONDS);
 	}
 
@@ -105,6 +153,7 @@
 
 		@Override
 		public boolean acceptHead(HttpResponse response) {
+			ResponseFramingTests.this.headReceived.countDown();
 			ResponseFramingTests.this.events.add("head");
 			return true;
 		}
