Treat a stream as broken off if it ends within an event or without one

Seen: callers got the last chunk of a stream whose last event had an "id:", "event:" or version line but no data yet, whether its end was given by chunks, a length or the end of the connection. A stream without any event was complete too. Such turns were recorded. Cause: EventScanner took only a data line for the beginning of an event. Change: any line but a comment begins an event, and an empty line ends it. A stream is complete between two events, after the first one. Otherwise the caller's connection is closed without a last chunk, or 502 is sent if nothing was forwarded yet, and the turn is not recorded. The case of a reset was handled before.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/EventScanner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/EventScanner.java
@@ -18,6 +18,8 @@
 
 	private final ByteArrayOutputStream eventData = new ByteArrayOutputStream();
 
+	private boolean inEvent;
+
 	private boolean hasData;
 
 	private boolean afterCarriageReturn;
@@ -52,6 +54,8 @@
 			endEvent();
 			return;
 		}
+		// A comment belongs to no event.
+		this.inEvent |= lineBytes[0] != ':';
 		int colonIndex = 0;
 		while (colonIndex < lineBytes.length && lineBytes[colonIndex] != ':') {
 			colonIndex++;
@@ -79,6 +83,7 @@
 		}
 		this.currentEvent.reset();
 		this.hasData = false;
+		this.inEvent = false;
 	}
 
 	int eventCount() {
@@ -90,7 +95,15 @@
 	 * @return false within an event
 	 */
 	boolean isAtEventBoundary() {
-		return !this.hasData && this.currentLine.size() == 0;
+		return !this.inEvent && this.currentLine.size() == 0;
+	}
+
+	/**
+	 * Returns whether the data processed so far is a complete stream.
+	 * @return false within an event and before the end of the first one
+	 */
+	boolean isComplete() {
+		return this.eventCount > 0 && isAtEventBoundary();
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
@@ -84,7 +84,7 @@
 	boolean isComplete() {
 		BackendResponse parsed = this.backendResponse;
 		return parsed != null && (!parsed.isSuccess()
-				|| (isUnaltered(parsed) && (this.scanner == null || this.scanner.isAtEventBoundary())));
+				|| (isUnaltered(parsed) && (this.scanner == null || this.scanner.isComplete())));
 	}
 
 	/**
--- a/gateway/src/test/java/org/hemlockgw/gateway/entry/EventScannerTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/entry/EventScannerTests.java
@@ -41,4 +41,28 @@
 		assertThat(scanner.isAtEventBoundary()).isEqualTo(atBoundary);
 	}
 
+	// Guards against a stream that breaks off within an event and is taken for complete.
+	@ParameterizedTest
+	@CsvSource({ "'', true", "'id: 2', false", "'id: 2\n', false", "'event: token\n', false", "'x-version: 3\n', false",
+			"'data', false", "'data: b\n', false", "'id: 2\ndata: b\n', false", "'id: 2\ndata: b\r\n', false",
+			"'id: 2\r', false", "'id: 2\r\n', false", "'id: 2\n: comment\n', false", "'unknown\n', false",
+			"': comment', false", "': comment\n', true", "': comment\r', true", "':\n\n', true", "'\n', true",
+			"'id: 2\n\n', true", "'id: 2\r\n\r', true", "'id: 2\r\r', true", "'id: 2\n: comment\n\n', true" })
+	void streamIsCompleteBetweenEventsOnly(String rest, boolean complete) {
+		EventScanner scanner = new EventScanner();
+		scanner.append(Unpooled.copiedBuffer("id: 1\ndata: a\n\n", StandardCharsets.UTF_8));
+		for (char next : rest.toCharArray()) {
+			scanner.append(Unpooled.copiedBuffer(String.valueOf(next), StandardCharsets.UTF_8));
+		}
+		assertThat(scanner.isComplete()).isEqualTo(complete);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "\n", ": comment\n\n", "id: 1\n\n" })
+	void streamWithoutEventIsIncomplete(String text) {
+		EventScanner scanner = new EventScanner();
+		scanner.append(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+		assertThat(scanner.isComplete()).isFalse();
+	}
+
 }
