Store crashes of servers so that they outlive all daemons

Callers saw: a request that had crashed three engines crashed up to three more after one daemon was restarted or after all VMs lost power. What this did to innocent requests on these engines was not measured.

Change: the losses of a content are appended to the keyed topic keyed.crashes (port CrashLog, StoreCrashLog in platform) from the second one on, all that are known at once. All daemons follow the topic with a long poll of 30 s, and a daemon is ready only after it has read it once. While the store is away, the losses wait in memory and are written on its return. A loss that another daemon reports is written after 1 s unless it is in the topic by then, so a daemon that the store turns away, or that dies, does not take it along.

Why it works: each loss has a key of its own (digest, time, server), so writers never overwrite each other, and a repeated append or a report that arrives by message and by the topic counts once; CrashHistory compares reports by digest, server and time. Malformed records are ignored with a warning. The reports about one content expire together, so that a daemon that reads them counts as many as one that received them one by one. Expired ones are deleted with the next append or at a start; 4,096 are kept.

Ruled out: a count per daemon under one key (an append that the store executes late would restore an older count); writing single losses (most contents never crash a second engine, and calls to the store are priced).

RetryTests.crashesWithoutAttemptStartAllCount reported the same crash at the same time several times and wanted each to count. Now equal reports are repeats, so the test (reportedCrashesAllCount) reports crashes at different times, and repeatedReportsCountOnce covers repeats. ServerLost has a time; daemons of before this commit cannot send it to new ones.

--- a/core/src/main/java/org/hemlockgw/core/retry/CrashHistory.java
+++ b/core/src/main/java/org/hemlockgw/core/retry/CrashHistory.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Engine crashes by digest of the request content. Content whose requests crash engines
@@ -59,28 +62,48 @@
 		CrashRecord record = this.crashesByDigest.get(digest);
 		boolean sameCrash = record != null && record.engine().equals(engine)
 				&& !attemptStart.isAfter(record.lastCrash());
-		return add(digest, engine, now, sameCrash ? 0 : 1);
+		return add(digest, engine, now, sameCrash ? 0 : 1).count() >= this.quarantineThreshold;
 	}
 
 	/**
-	 * Records an engine crash during an attempt whose start time was taken from a
-	 * different clock. Each call counts as a separate crash.
+	 * Records a crash that this daemon or another one has observed. Repeated reports and
+	 * reports about quarantined content change nothing.
+	 * @param report the report
+	 * @param now current time
+	 * @return whether the crash was counted
+	 */
+	public synchronized boolean recordCrash(CrashReport report, Instant now) {
+		CrashRecord previous = this.crashesByDigest.get(report.digest());
+		if (isQuarantined(report.digest(), now) || (previous != null && previous.reports().contains(report))) {
+			return false;
+		}
+		// The clocks of daemons differ, and the order of reports does too.
+		Instant time = report.time().isAfter(now) ? now : report.time();
+		if (previous != null && previous.lastCrash().isAfter(time)) {
+			time = previous.lastCrash();
+		}
+		add(report.digest(), report.engine(), time, 1).reports().add(report);
+		return true;
+	}
+
+	/**
+	 * Returns the reports of the crashes that are counted for this content.
 	 * @param digest digest of the content
-	 * @param engine name of the engine
-	 * @param now time of the crash
-	 * @return whether the content is to be quarantined
+	 * @return the reports, at most as many as lead to a quarantine
 	 */
-	public synchronized boolean recordCrash(String digest, String engine, Instant now) {
-		return add(digest, engine, now, 1);
+	public synchronized List<CrashReport> reports(String digest) {
+		CrashRecord record = this.crashesByDigest.get(digest);
+		return (record != null) ? List.copyOf(record.reports()) : List.of();
 	}
 
-	private boolean add(String digest, String engine, Instant now, int increment) {
+	private CrashRecord add(String digest, String engine, Instant now, int increment) {
 		CrashRecord previous = this.crashesByDigest.remove(digest);
-		int count = (previous == null || now.isAfter(previous.lastCrash().plus(QUARANTINE_DURATION))) ? 1
-				: previous.count() + increment;
+		CrashRecord next = (previous == null || now.isAfter(previous.lastCrash().plus(QUARANTINE_DURATION)))
+				? new CrashRecord(1, engine, now, new LinkedHashSet<>())
+				: new CrashRecord(previous.count() + increment, engine, now, previous.reports());
 		evict();
-		this.crashesByDigest.put(digest, new CrashRecord(count, engine, now));
-		return count >= this.quarantineThreshold;
+		this.crashesByDigest.put(digest, next);
+		return next;
 	}
 
 	/**
@@ -115,7 +138,7 @@
 		}
 	}
 
-	private record CrashRecord(int count, String engine, Instant lastCrash) {
+	private record CrashRecord(int count, String engine, Instant lastCrash, Set<CrashReport> reports) {
 	}
 
 }
--- a/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
+++ b/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
@@ -75,14 +75,44 @@
 	// engine.
 	@ParameterizedTest
 	@CsvSource({ "1, 1, true", "2, 1, false", "3, 2, false", "3, 3, true" })
-	void crashesWithoutAttemptStartAllCount(int threshold, int crashCount, boolean quarantined) {
+	void reportedCrashesAllCount(int threshold, int crashCount, boolean quarantined) {
 		CrashHistory crashes = new CrashHistory(threshold);
 		assertThat(crashes.isEmpty()).isTrue();
 		for (int i = 0; i < crashCount; i++) {
-			crashes.recordCrash("d", "e1", NOW);
+			assertThat(crashes.recordCrash(crashAt(i), NOW)).isTrue();
 		}
 		assertThat(crashes.isEmpty()).isFalse();
 		assertThat(crashes.isQuarantined("d", NOW)).isEqualTo(quarantined);
+		assertThat(crashes.reports("d")).hasSize(crashCount);
+	}
+
+	// Guards against a crash that counts again because it is reported by a message and by
+	// a stored record, and against crashes that are lost because reports are out of
+	// order.
+	@ParameterizedTest
+	@CsvSource({ "0, 0, 1, false", "0, 1, 1, false", "0, 1, 2, true", "2, 1, 0, true", "2, 0, 2, false" })
+	void repeatedReportsCountOnce(int first, int second, int third, boolean quarantined) {
+		CrashHistory crashes = new CrashHistory(3);
+		Instant now = NOW.plusSeconds(1);
+		crashes.recordCrash(crashAt(first), now);
+		crashes.recordCrash(crashAt(second), now);
+		crashes.recordCrash(crashAt(third), now);
+		assertThat(crashes.recordCrash(crashAt(first), now)).isFalse();
+		assertThat(crashes.isQuarantined("d", now)).isEqualTo(quarantined);
+	}
+
+	// Guards against a quarantine that never ends because a report is from the future.
+	@ParameterizedTest
+	@CsvSource({ "0", "3000000" })
+	void quarantineOfReportedCrashesEnds(long aheadMs) {
+		CrashHistory crashes = new CrashHistory(1);
+		crashes.recordCrash(crashAt(aheadMs), NOW);
+		assertThat(crashes.isQuarantined("d", NOW.plus(CrashHistory.QUARANTINE_DURATION))).isTrue();
+		assertThat(crashes.isQuarantined("d", NOW.plus(CrashHistory.QUARANTINE_DURATION).plusMillis(1))).isFalse();
+	}
+
+	private static CrashReport crashAt(long offsetMs) {
+		return new CrashReport("d", "e1", NOW.plusMillis(offsetMs));
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -111,7 +111,7 @@
 
 	private volatile boolean draining;
 
-	public Gateway(EventLoop loop, GatewaySettings settings, StateStore store, WireFormat wireFormat,
+	public Gateway(EventLoop loop, GatewaySettings settings, StateStore store, CrashLog crashLog, WireFormat wireFormat,
 			InstantSource clock) {
 		this.loop = loop;
 		this.settings = settings;
@@ -131,7 +131,7 @@
 				() -> this.draining, this.membership,
 				new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
 				new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime),
-				new CrashingRequests(clock, this.membership, this.peerLinks),
+				new CrashingRequests(loop, clock, this.membership, this.peerLinks, crashLog),
 				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics);
 	}
 
@@ -151,6 +151,7 @@
 		listenForCallers();
 		this.loop.execute(() -> {
 			this.membership.start();
+			this.services.crashingRequests().start();
 			configuration.watch(this::applyConfiguration);
 			directory.watch((list) -> {
 				this.serverListReceived = true;
@@ -202,7 +203,8 @@
 
 	private boolean isReady() {
 		this.hasSettled = this.hasSettled || this.membership.isReady();
-		return !this.draining && this.routingTable != null && this.serverListReceived && this.hasSettled;
+		return !this.draining && this.routingTable != null && this.serverListReceived && this.hasSettled
+				&& this.services.crashingRequests().isLoaded();
 	}
 
 	private String renderMetrics() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -85,8 +85,9 @@
 			FieldCodec.writeSlotRequest(out, hold.request());
 			out.packString(hold.server());
 		}, (in) -> new PeerMessage.HoldSlot(in.unpackString(), FieldCodec.readSlotRequest(in), in.unpackString()));
-		add(13, PeerMessage.ServerLost.class, (out, lost) -> out.packString(lost.digest()).packString(lost.server()),
-				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackString()));
+		add(13, PeerMessage.ServerLost.class,
+				(out, lost) -> out.packString(lost.digest()).packString(lost.server()).packLong(lost.timeMs()),
+				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackString(), in.unpackLong()));
 		add(14, PeerMessage.SlotQueued.class, (out, queued) -> {
 		}, (in) -> new PeerMessage.SlotQueued());
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -332,8 +332,10 @@
 	 *
 	 * @param digest digest of the request's path and body
 	 * @param server the server
+	 * @param timeMs time of the loss by the sender's clock in milliseconds since the
+	 * epoch
 	 */
-	record ServerLost(String digest, String server) implements PeerMessage {
+	record ServerLost(String digest, String server, long timeMs) implements PeerMessage {
 	}
 
 	/**
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -44,7 +44,7 @@
 				new PeerMessage.SlotAnswered(SlotDecision.refused(250, "full")), new PeerMessage.SlotAnswered(null),
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
 				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
-				new PeerMessage.ServerLost("abc", "s1"), new PeerMessage.RelayHolders(),
+				new PeerMessage.ServerLost("abc", "s1", 1_796_463_045_915L), new PeerMessage.RelayHolders(),
 				new PeerMessage.CopiesReceived(3, 2), new PeerMessage.KeepCopies(3, 8, List.of()),
 				new PeerMessage.OfferCopies(3, List.of()), new PeerMessage.CopiesKept(true),
 				new PeerMessage.CollectCopies(3, 10), new PeerMessage.RelayAppend(3, 8, 2, List.of()),
--- a/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/StoreServer.java
@@ -154,6 +154,15 @@
 		notifyAll();
 	}
 
+	/**
+	 * Returns how many keys the first partition of a topic has.
+	 * @param topic a keyed topic
+	 * @return the number of keys
+	 */
+	public synchronized int keyCount(String topic) {
+		return partition(topic, 0).newest().size();
+	}
+
 	private StorePartition partition(String topic, long part) {
 		return this.partitions.computeIfAbsent(topic + "/" + part, (key) -> new StorePartition());
 	}
@@ -218,8 +227,9 @@
 	}
 
 	private synchronized Map<String, Object> append(Exchange exchange, byte[] body) {
+		String producer = exchange.queryText("producer", "");
 		Map<String, Object> answer = partition(exchange.queryText("topic", ""), exchange.queryNumber("part", 0)).append(
-				exchange.queryText("producer", "p"), exchange.queryNumber("epoch", 0), exchange.queryNumber("seq", 0),
+				producer.isEmpty() ? null : producer, exchange.queryNumber("epoch", 0), exchange.queryNumber("seq", 0),
 				body);
 		notifyAll();
 		return answer;
