Refuse byte strings that are longer than any message

Seen by callers: nothing so far; a damaged record of a shard whose byte string claims 2 GB would keep the shard from being loaded, or end the daemon. Cause: FieldCodec allocates the length that a record states. The OutOfMemoryError is no RuntimeException, so the record is not skipped like other damaged ones. Change: a length above the maximum frame size (16 MiB) is an IOException, which skips the record or closes the connection, as for other malformed data. Ruled out: wrong types, truncated strings and maps with a false size were skipped before. Measured: on the unfixed code the test process ended with "Requested array size exceeds VM limit"; now ShardCodecTests (13), PeerCodecTests (98) and MembershipTests (6) are green. A run of all tests of gateway and platform was cut off after 7 minutes in EndToEndTests at a load of 30 on 8 cores; InvalidEntryTests, KeyedTopicWatchTests, PlannedStopTests and TokenBudgetTests had passed in it. The other tests of platform were not run on this commit.

--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
@@ -28,6 +28,9 @@
  */
 final class FieldCodec {
 
+	/** Maximum length of a byte string; no message is longer. */
+	private static final int MAX_BYTES = PeerFrames.MAX_FRAME_BYTES;
+
 	private FieldCodec() {
 	}
 
@@ -203,7 +206,11 @@
 	}
 
 	static byte[] readBytes(MessageUnpacker in) throws IOException {
-		return in.readPayload(in.unpackBinaryHeader());
+		int length = in.unpackBinaryHeader();
+		if (length > MAX_BYTES) {
+			throw new IOException("byte string of length " + length + " exceeds " + MAX_BYTES);
+		}
+		return in.readPayload(length);
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerFrames.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerFrames.java
@@ -16,7 +16,7 @@
 	 * Maximum size of a frame in bytes; the chain of the longest programs takes less than
 	 * 1 MiB.
 	 */
-	private static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
+	static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
 	private static final int LENGTH_BYTES = 4;
 
