Ignore late refusals of earlier requests that name no request

Seen: an engine wrote an earlier 503 once more on a kept connection, without an identifier and without the statement that the request did not run. The caller of the next request got it as the answer although the engine ran the request. By the code, 429 and 400 took the same way; the test stopped at 503. Requests with a body that met three such copies, of any kind without an identifier, were then refused as crashing engines. Cause: a failure without an identifier counted as attributable, also on a reused connection. A response that could not be attributed was handled at its end, after its connection had returned to the pool, and was recorded as the loss of the server. Change: on a connection that has carried another request, a response without an identifier is attributed to none. The call fails at its head and the connection is closed. The request may have run, so callers get 502, and only requests that may be repeated go to another server. Responses that cannot be attributed or are too large are not recorded as crashes. Ruled out: skipping such responses and waiting for another one, which holds the request to its deadline if the engine sends no identifiers.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
@@ -16,11 +16,13 @@
 
 	/**
 	 * Returns whether the response can be attributed to a request. A success or a
-	 * rejection that names no request may be a late copy of another response.
+	 * rejection that names no request may be a late copy of another response, and so may
+	 * any response on a connection that has carried another request.
+	 * @param reused whether the connection has carried another request before
 	 * @return false if the response must not be used
 	 */
-	public boolean isAttributable() {
-		return this.requestId != null || !(this.notRun || isSuccess());
+	public boolean isAttributable(boolean reused) {
+		return this.requestId != null || !(reused || this.notRun || isSuccess());
 	}
 
 	public boolean isSuccess() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
@@ -27,4 +27,10 @@
 public record CallerRequest(String id, String host, String path, long deadlineMs, @Nullable String program,
 		long programDeadlineMs, long tokenBudget, int maxTokens, @Nullable String previousTurn,
 		List<PromptPart> prompt) {
+
+	long programRemainingMs(Deadline deadline) {
+		return (this.programDeadlineMs == Long.MAX_VALUE) ? this.programDeadlineMs
+				: this.programDeadlineMs - deadline.elapsedMs();
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
@@ -62,7 +62,7 @@
 	}
 
 	private static boolean isUnaltered(BackendResponse parsed) {
-		return parsed.signed() && !parsed.encoded() && parsed.isAttributable();
+		return parsed.signed() && !parsed.encoded();
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -40,8 +40,6 @@
 	/** Number of failed connections after which a request is refused. */
 	private static final int MAX_CONNECT_FAILURES = 3;
 
-	private static final byte[] NO_PREFIX = {};
-
 	private final Services services;
 
 	private final CallerConnection caller;
@@ -62,7 +60,7 @@
 
 	private final Set<String> excludedServers = new HashSet<>();
 
-	private byte[] bodyPrefix = NO_PREFIX;
+	private byte[] bodyPrefix = {};
 
 	private boolean programStarted;
 
@@ -123,8 +121,9 @@
 			return;
 		}
 		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(),
-				this.route.priority(), this.programStarted, programRemainingMs(), this.route.objective().toMillis(),
-				remainingMs, this.callerRequest.prompt(), Set.copyOf(this.excludedServers), connectedServers());
+				this.route.priority(), this.programStarted, this.callerRequest.programRemainingMs(this.deadline),
+				this.route.objective().toMillis(), remainingMs, this.callerRequest.prompt(),
+				Set.copyOf(this.excludedServers), connectedServers());
 		this.log.slotRequested();
 		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
 	}
@@ -134,11 +133,6 @@
 			.findServers(this.pool, (server) -> this.services.serverConnections().hasIdle(server.address()));
 	}
 
-	private long programRemainingMs() {
-		long givenMs = this.callerRequest.programDeadlineMs();
-		return (givenMs == Long.MAX_VALUE) ? givenMs : givenMs - this.deadline.elapsedMs();
-	}
-
 	private void handleSlotAnswer(SlotDecision outcome) {
 		this.log.slotAnswered();
 		String server = outcome.serverId();
@@ -191,8 +185,8 @@
 		this.currentCall = this.services.serverConnections()
 			.send(address, requestHead, body, new HttpResponseListener() {
 				@Override
-				public boolean acceptHead(HttpResponse head) {
-					return acceptResponse(relay, head);
+				public boolean acceptHead(HttpResponse head, boolean reused) {
+					return acceptResponse(server, relay, head, reused);
 				}
 
 				@Override
@@ -207,17 +201,21 @@
 
 				@Override
 				public void failed(boolean sent, String cause) {
-					handleFailure(server, sent, cause);
+					handleFailure(server, sent, sent, cause);
 				}
 			});
 	}
 
-	private boolean acceptResponse(ResponseRelay relay, HttpResponse head) {
+	private boolean acceptResponse(String server, ResponseRelay relay, HttpResponse head, boolean reused) {
 		BackendResponse parsed = this.services.wireFormat().decode(head);
 		if (parsed.requestId() != null && !parsed.requestId().equals(this.callerRequest.id())) {
 			this.log.mismatchedResponse(parsed.requestId());
 			return false;
 		}
+		if (!parsed.isAttributable(reused)) {
+			failResponse(server, "response names no request");
+			return false;
+		}
 		relay.setHead(head, parsed);
 		return true;
 	}
@@ -227,32 +225,32 @@
 			return;
 		}
 		if (!relay.appendBody(part)) {
-			HttpCall call = this.currentCall;
-			if (call != null) {
-				call.abort();
-			}
-			handleFailure(server, true, "response is larger than the memory for responses");
+			failResponse(server, "response is larger than the memory for responses");
 			return;
 		}
 		this.listener.received(relay);
 	}
 
+	private void failResponse(String server, String cause) {
+		HttpCall call = this.currentCall;
+		if (call != null) {
+			call.abort();
+		}
+		handleFailure(server, true, false, cause);
+	}
+
 	private void handleCompletion(String server, ResponseRelay relay) {
 		this.currentCall = null;
 		BackendResponse parsed = relay.backendResponse();
 		if (this.cancelled || parsed == null) {
 			return;
 		}
-		if (!parsed.isAttributable()) {
-			handleFailure(server, true, "response names no request");
-			return;
-		}
 		if (parsed.notRun()) {
 			handleRejection(server, parsed.status());
 			return;
 		}
 		if (!relay.isComplete()) {
-			handleFailure(server, true, "response is unsigned, encoded or incomplete");
+			handleFailure(server, true, true, "response is unsigned, encoded or incomplete");
 			return;
 		}
 		boolean serverError = parsed.status() >= 500;
@@ -288,7 +286,7 @@
 		}
 	}
 
-	private void handleFailure(String server, boolean sent, String cause) {
+	private void handleFailure(String server, boolean sent, boolean lost, String cause) {
 		this.currentCall = null;
 		if (this.cancelled) {
 			return;
@@ -306,7 +304,9 @@
 			return;
 		}
 		this.mayHaveRun = true;
-		this.services.crashingRequests().recordCrash(this.request, server);
+		if (lost) {
+			this.services.crashingRequests().recordCrash(this.request, server);
+		}
 		if (isHeadSent()) {
 			this.listener.aborted(cause);
 			return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
@@ -36,6 +36,8 @@
 
 	private @Nullable HttpResponseListener listener;
 
+	private int requestCount;
+
 	private boolean skippingResponse;
 
 	private boolean responseStarted;
@@ -62,6 +64,7 @@
 	void send(HttpRequest head, ByteBuf body, HttpCall nextCall, HttpResponseListener responseListener) {
 		this.call = nextCall;
 		this.listener = responseListener;
+		this.requestCount++;
 		this.responseStarted = false;
 		this.dataReceived = false;
 		this.requestSentNanos = this.connections.nanoTime();
@@ -148,7 +151,7 @@
 			this.skippingResponse = true;
 			return true;
 		}
-		this.skippingResponse = !responseListener.acceptHead(response);
+		this.skippingResponse = !responseListener.acceptHead(response, this.requestCount > 1);
 		if (this.skippingResponse) {
 			this.reusable = false;
 			return true;
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpResponseListener.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpResponseListener.java
@@ -11,9 +11,11 @@
 	/**
 	 * Receives the status and headers of the response.
 	 * @param response status and headers
+	 * @param reused whether the connection has carried another request before; a late
+	 * copy of its response may arrive
 	 * @return false if the response belongs to another request and is to be skipped
 	 */
-	boolean acceptHead(HttpResponse response);
+	boolean acceptHead(HttpResponse response, boolean reused);
 
 	/**
 	 * Receives a part of the body.
--- a/gateway/src/test/java/org/hemlockgw/gateway/net/HttpConnectionsTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/net/HttpConnectionsTests.java
@@ -116,7 +116,7 @@
 		HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
 		return this.connections.send(this.address, head, Unpooled.EMPTY_BUFFER, new HttpResponseListener() {
 			@Override
-			public boolean acceptHead(HttpResponse response) {
+			public boolean acceptHead(HttpResponse response, boolean reused) {
 				if (path.equals("/begun")) {
 					HttpConnectionsTests.this.events.add("head");
 				}
--- a/gateway/src/test/java/org/hemlockgw/gateway/net/ResponseFramingTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/net/ResponseFramingTests.java
@@ -152,7 +152,7 @@
 	private final class Recorder implements HttpResponseListener {
 
 		@Override
-		public boolean acceptHead(HttpResponse response) {
+		public boolean acceptHead(HttpResponse response, boolean reused) {
 			ResponseFramingTests.this.headReceived.countDown();
 			ResponseFramingTests.this.events.add("head");
 			return true;
