Deliver nothing to a call that was aborted

Cause: a call that is aborted while a head is delivered closes its connection, but the decoder still delivers what it has read. If two responses that cannot be attributed arrive together, the second one fails the call once more: a request that may be repeated would be sent twice, and the slot of its next attempt be released. Change: HttpClientConnection drops what follows once its call has ended. Measured: ResponseFramingTests.abortedCallReceivesNothingMore, red before (a second head instead of the next response), green after; 13 of 13 cases of the class green.

--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
@@ -126,7 +126,7 @@
 			return;
 		}
 		HttpResponseListener responseListener = this.listener;
-		if (responseListener == null) {
+		if (responseListener == null || this.call == null || this.call.hasEnded()) {
 			// Data after the end of a response belongs to no request.
 			close();
 			return;
--- a/gateway/src/test/java/org/hemlockgw/gateway/net/ResponseFramingTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/net/ResponseFramingTests.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -43,6 +44,8 @@
 	/** More than the buffers of a connection hold. */
 	private static final int LARGE_BODY_BYTES = 64 << 20;
 
+	private static final String WHOLE_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
 	private static final String CLOSE_DELIMITED = "HTTP/1.1 200 OK\r\n\r\nbegin";
 
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -57,6 +60,10 @@
 
 	private volatile String answer = "";
 
+	private volatile boolean abortingOnHead;
+
+	private volatile @Nullable HttpCall call;
+
 	@AfterEach
 	void stop() {
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -114,6 +121,24 @@
 		}
 	}
 
+	// Guards against a call that is repeated twice because two responses to other
+	// requests
+	// arrive together.
+	@Test
+	void abortedCallReceivesNothingMore() throws Exception {
+		this.answer = WHOLE_RESPONSE.repeat(2);
+		try (RawEngine engine = new RawEngine((connection, request) -> answer(connection, request, false))) {
+			this.abortingOnHead = true;
+			send(engine, "aborted", 0);
+			assertThat(nextEvent()).isEqualTo("head");
+			runOnLoop(() -> this.abortingOnHead = false);
+			send(engine, WHOLE, 0);
+			assertThat(nextEvent()).isEqualTo("head");
+			assertThat(nextEvent()).isEqualTo("complete");
+		}
+		assertThat(this.events).isEmpty();
+	}
+
 	private void awaitHead() throws IOException {
 		try {
 			assertThat(this.headReceived.await(WAIT_TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
@@ -126,7 +151,7 @@
 	private boolean answer(RawEngine.Connection connection, RawEngine.Request request, boolean reset)
 			throws IOException {
 		if (request.id().equals(WHOLE)) {
-			connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+			connection.write(WHOLE_RESPONSE);
 			return true;
 		}
 		connection.write(this.answer);
@@ -141,8 +166,11 @@
 		HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
 		head.headers().set("X-Request-Id", id);
 		ByteBuf body = Unpooled.wrappedBuffer(new byte[bodyBytes]);
-		this.loop.submit(() -> this.connections.send(engine.address(), head, body, new Recorder()))
-			.get(WAIT_TIMEOUT_S, TimeUnit.SECONDS);
+		runOnLoop(() -> this.call = this.connections.send(engine.address(), head, body, new Recorder()));
+	}
+
+	private void runOnLoop(Runnable action) throws Exception {
+		this.loop.submit(action).get(WAIT_TIMEOUT_S, TimeUnit.SECONDS);
 	}
 
 	private String nextEvent() throws InterruptedException {
@@ -155,6 +183,10 @@
 		public boolean acceptHead(HttpResponse response, boolean reused) {
 			ResponseFramingTests.this.headReceived.countDown();
 			ResponseFramingTests.this.events.add("head");
+			HttpCall pending = ResponseFramingTests.this.call;
+			if (pending != null && ResponseFramingTests.this.abortingOnHead) {
+				pending.abort();
+			}
 			return true;
 		}
 
