Answer 502 if a refusal does not state that the request did not run

Seen: an engine's 408, 429 or 503 with the request's identifier but without the statement that it did not run reached the caller unchanged, who takes these statuses for a promise. Change: such a response is a failure of the server. Callers get 502 without a signature, and requests that may be repeated go to another server. Of complete responses, only successes that fail the check count as the loss of a server from now on.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
@@ -25,6 +25,17 @@
 		return this.requestId != null || !(reused || this.notRun || isSuccess());
 	}
 
+	/**
+	 * Returns whether callers take the status for a promise that the request has not run.
+	 * @return true for the statuses that only a server's rejection may have
+	 */
+	public boolean promisesNotRun() {
+		return switch (this.status) {
+			case 408, 421, 429, 503 -> true;
+			default -> false;
+		};
+	}
+
 	public boolean isSuccess() {
 		return this.status >= 200 && this.status < 300;
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
@@ -78,13 +78,16 @@
 	}
 
 	/**
-	 * Returns whether a successful response is complete and unaltered by intermediaries.
-	 * @return true for failure responses too
+	 * Returns whether a response that is not a rejection may be sent to the caller.
+	 * @return whether it is a failure that promises nothing, or a success that is
+	 * complete and unaltered by intermediaries
 	 */
-	boolean isComplete() {
+	boolean isValid() {
 		BackendResponse parsed = this.backendResponse;
-		return parsed != null && (!parsed.isSuccess()
-				|| (isUnaltered(parsed) && (this.scanner == null || this.scanner.isComplete())));
+		if (parsed == null || parsed.promisesNotRun()) {
+			return false;
+		}
+		return !parsed.isSuccess() || (isUnaltered(parsed) && (this.scanner == null || this.scanner.isComplete()));
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -249,8 +249,8 @@
 			handleRejection(server, parsed.status());
 			return;
 		}
-		if (!relay.isComplete()) {
-			handleFailure(server, true, true, "response is unsigned, encoded or incomplete");
+		if (!relay.isValid()) {
+			handleFailure(server, true, parsed.isSuccess(), "response is unsigned, incomplete or unfounded");
 			return;
 		}
 		boolean serverError = parsed.status() >= 500;
