Notice the begin and the end of a store outage sooner

Seen by callers: turns that arrive in the first 0.7 s of an outage run on an engine in vain (504, in 6 or 7 of about 55 turns of an outage of 5 s), and turns wait for calls that were sent during the outage and only fail after 0.8 s or more. Cause: only silence of 0.7 s counted as an outage, also if each call was refused; after it each append waited for its own retry. Change: 0.2 s are enough if a join has failed directly and through other daemons. While the store is unavailable a join is sent every 150 ms, without waiting for earlier ones. With the first answer all appends in progress are sent again with the same number; late answers of earlier attempts are ignored. The joins move to a class of their own. Ruled out: failed appends as a sign of an outage, since one partition may refuse alone.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -39,6 +39,12 @@
 	 */
 	static final long JOIN_INTERVAL_MS = 350;
 
+	/**
+	 * Interval in milliseconds of joins while the store is unavailable. Turns wait for
+	 * the first answer.
+	 */
+	private static final long PROBE_INTERVAL_MS = 150;
+
 	/**
 	 * Interval in milliseconds of regular reads of all shard holders; a refresh reads
 	 * them earlier.
@@ -81,9 +87,7 @@
 
 	private long generation;
 
-	private final JoinSequence joins;
-
-	private boolean rejoinRequested;
+	private final GroupJoins joins;
 
 	private boolean leaving;
 
@@ -105,24 +109,30 @@
 			PeerLinks peers, Runnable onShardsLost) {
 		this.loop = loop;
 		this.nanoClock = nanoClock;
-		this.joins = new JoinSequence(nanoClock, JOIN_INTERVAL_MS / 2);
 		this.self = self;
 		this.onShardsLost = onShardsLost;
 		this.peers = peers;
 		this.members = new KnownMembers(self, nanoClock);
 		this.holders = new ShardHolderTable(self);
-		this.health = new StoreHealth(nanoClock);
+		this.health = new StoreHealth(nanoClock, this::resendAppends);
 		this.store = new RelayedStore(store, peers, this.members);
+		this.joins = new GroupJoins(this.store, self, this.health, new JoinSequence(nanoClock, JOIN_INTERVAL_MS / 2),
+				() -> this.generation, this::apply);
 		this.owned = new OwnedShards(loop, this.store, clock, nanoClock, this.health, this::refresh, this::announce);
 	}
 
 	public void start() {
-		this.loop.scheduleAtFixedRate(this::join, 0, JOIN_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this.joins::join, 0, JOIN_INTERVAL_MS, TimeUnit.MILLISECONDS);
+		this.loop.scheduleAtFixedRate(this.joins::probe, PROBE_INTERVAL_MS, PROBE_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this::readHolders, 0, HOLDERS_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this.owned::removeExpired, EXPIRY_INTERVAL_MS, EXPIRY_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 	}
 
+	private void resendAppends() {
+		this.owned.resend();
+	}
+
 	/**
 	 * Joins and reads the shard holders now, unless the last refresh was very recent.
 	 */
@@ -132,43 +142,10 @@
 			return;
 		}
 		this.lastRefreshNanos = now;
-		join();
+		this.joins.join();
 		readHolders();
 	}
 
-	private void join() {
-		this.health.logIfUnavailable();
-		if (this.leaving) {
-			return;
-		}
-		if (this.joins.isPending()) {
-			this.rejoinRequested = true;
-			return;
-		}
-		long number = this.joins.begin();
-		this.rejoinRequested = false;
-		this.store.join(this.self.text(), this.generation)
-			.whenComplete((assignment, error) -> handleJoined(number, assignment, error));
-	}
-
-	private void handleJoined(long number, ShardAssignment assignment, @Nullable Throwable error) {
-		if (error != null) {
-			logger.atWarn().addKeyValue(LogFields.REASON, error.getMessage()).log("failed to join the group");
-		}
-		else {
-			this.health.recordAnswer();
-		}
-		if (!this.joins.end(number)) {
-			return;
-		}
-		if (error == null) {
-			apply(assignment);
-		}
-		if (this.rejoinRequested) {
-			join();
-		}
-	}
-
 	private void apply(ShardAssignment assignment) {
 		if (this.leaving || assignment.generation() < this.generation) {
 			return;
@@ -210,7 +187,7 @@
 	 */
 	public void handle(PeerMessage.ShardFenced fenced) {
 		if (this.owned.relinquishIfOlder(fenced.shard(), fenced.epoch())) {
-			join();
+			this.joins.join();
 		}
 	}
 
@@ -256,7 +233,7 @@
 					.addKeyValue(LogFields.LOST, lost)
 					.log("shards were assigned to other daemons");
 			}
-			join();
+			this.joins.join();
 		}
 	}
 
@@ -287,6 +264,7 @@
 	 */
 	public void leave(Runnable done) {
 		this.leaving = true;
+		this.joins.stop();
 		if (!this.owned.isIdle()) {
 			this.loop.schedule(() -> leave(done), LEAVE_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
 			return;
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShards.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShards.java
@@ -3,6 +3,7 @@
 import java.time.InstantSource;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -129,7 +130,7 @@
 	 * Repeats the appends in progress, because the store has become available again.
 	 */
 	void resend() {
-		this.byNumber.values().forEach(OwnedShard::resend);
+		List.copyOf(this.byNumber.values()).forEach(OwnedShard::resend);
 	}
 
 	void removeExpired() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardWriter.java
@@ -184,7 +184,9 @@
 		// Waiters are notified only by the call that empties the queue, because it
 		// contains the last of their records.
 		this.inFlightWaiters = this.pending.isEmpty() ? List.copyOf(this.waiters) : List.of();
-		this.waiters.removeAll(this.inFlightWaiters);
+		if (this.pending.isEmpty()) {
+			this.waiters.clear();
+		}
 		send();
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/StoreHealth.java
@@ -21,28 +21,51 @@
 	 */
 	static final long UNAVAILABLE_MS = 700;
 
+	/**
+	 * Time in milliseconds after which the store is considered unavailable if a join has
+	 * failed meanwhile, directly and through other daemons.
+	 */
+	private static final long FAILING_MS = 200;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final LongSupplier nanoClock;
 
+	private final Runnable onAvailable;
+
 	private long lastAnswerNanos;
 
+	private boolean joinFailed;
+
 	private boolean outageLogged;
 
-	StoreHealth(LongSupplier nanoClock) {
+	/**
+	 * Creates a tracker that considers the store available.
+	 * @param nanoClock monotonic clock in nanoseconds
+	 * @param onAvailable called when the store answers again after it was unavailable
+	 */
+	StoreHealth(LongSupplier nanoClock, Runnable onAvailable) {
 		this.nanoClock = nanoClock;
+		this.onAvailable = onAvailable;
 		this.lastAnswerNanos = nanoClock.getAsLong();
 	}
 
 	void recordAnswer() {
 		long now = this.nanoClock.getAsLong();
+		boolean wasUnavailable = isUnavailable();
 		if (this.outageLogged) {
-			logger.atInfo()
-				.addKeyValue(LogFields.STORE_UNAVAILABLE_MS, (now - this.lastAnswerNanos) / NANOS_PER_MS)
-				.log("store answers again");
+			logger.atInfo().addKeyValue(LogFields.STORE_UNAVAILABLE_MS, silentMs()).log("store answers again");
 		}
 		this.lastAnswerNanos = now;
+		this.joinFailed = false;
 		this.outageLogged = false;
+		if (wasUnavailable) {
+			this.onAvailable.run();
+		}
+	}
+
+	void recordFailedJoin() {
+		this.joinFailed = true;
 	}
 
 	/**
@@ -51,12 +74,16 @@
 	void logIfUnavailable() {
 		if (!this.outageLogged && isUnavailable()) {
 			this.outageLogged = true;
-			logger.atWarn().addKeyValue(LogFields.STORE_UNAVAILABLE_MS, UNAVAILABLE_MS).log("store does not answer");
+			logger.atWarn().addKeyValue(LogFields.STORE_UNAVAILABLE_MS, silentMs()).log("store does not answer");
 		}
 	}
 
 	boolean isUnavailable() {
-		return this.nanoClock.getAsLong() - this.lastAnswerNanos > UNAVAILABLE_MS * NANOS_PER_MS;
+		return silentMs() > (this.joinFailed ? FAILING_MS : UNAVAILABLE_MS);
+	}
+
+	private long silentMs() {
+		return (this.nanoClock.getAsLong() - this.lastAnswerNanos) / NANOS_PER_MS;
 	}
 
 }
