Ask further daemons to relay a call if the first cannot reach the store

Seen by callers: turns wait while the only daemon that is asked to relay has lost the store too; it tried for 0.8 s before it said so. Cause: one relay was chosen for each call, and it always made the call itself. Change: a daemon whose own last call failed says at once that the store does not answer, and the caller asks up to three daemons in turn. A relay that does not reply ends the search, so that the time limit of a relayed call stays 1 s. There is no test with several isolated daemons, and the time saved was not measured.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/RelayedStore.java
@@ -1,10 +1,13 @@
 package org.hemlockgw.gateway.owner;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
 
@@ -31,6 +34,12 @@
 	 */
 	private static final long REPLY_TIMEOUT_MS = 1000;
 
+	/**
+	 * Number of daemons that are asked one after another to relay a call, until one
+	 * reaches the store or does not reply.
+	 */
+	private static final int MAX_RELAYS = 3;
+
 	private final StateStore direct;
 
 	private final PeerLinks peers;
@@ -117,18 +126,29 @@
 
 	private <T> CompletableFuture<T> relay(PeerMessage.StoreCall request, Function<PeerMessage, @Nullable T> decoder) {
 		CompletableFuture<T> result = new CompletableFuture<>();
-		List<MemberName> targets = (this.relayMember != null) ? List.of(this.relayMember) : this.members.choose(1);
-		if (targets.isEmpty()) {
-			result.completeExceptionally(new IOException("no other daemon is known"));
-			return result;
+		Deque<MemberName> targets = new ArrayDeque<>(this.members.choose(MAX_RELAYS));
+		MemberName preferred = this.relayMember;
+		if (preferred != null) {
+			targets.remove(preferred);
+			targets.addFirst(preferred);
+		}
+		relay(request, decoder, targets, "no other daemon is known", result);
+		return result;
+	}
+
+	private <T> void relay(PeerMessage.StoreCall request, Function<PeerMessage, @Nullable T> decoder,
+			Deque<MemberName> targets, String lastCause, CompletableFuture<T> result) {
+		MemberName target = targets.poll();
+		if (target == null) {
+			result.completeExceptionally(new IOException(lastCause));
+			return;
 		}
-		MemberName target = targets.get(0);
 		this.peers.request(target.peerAddress(), request, REPLY_TIMEOUT_MS, new ReplyListener() {
 			@Override
 			public void onReply(PeerMessage message) {
 				T answer = decoder.apply(message);
 				if (answer == null) {
-					onFailure("the store does not answer the relaying daemon either");
+					tryNext("the store does not answer the relaying daemon either");
 					return;
 				}
 				RelayedStore.this.relayMember = target;
@@ -137,38 +157,49 @@
 
 			@Override
 			public void onFailure(String cause) {
+				RelayedStore.this.members.recordFailure(target);
+				targets.clear();
+				tryNext(cause);
+			}
+
+			private void tryNext(String cause) {
 				if (target.equals(RelayedStore.this.relayMember)) {
 					RelayedStore.this.relayMember = null;
 				}
-				result.completeExceptionally(new IOException("through " + target.peerAddress() + ": " + cause));
+				relay(request, decoder, targets, "through " + target.peerAddress() + ": " + cause, result);
 			}
 		});
-		return result;
 	}
 
 	/**
 	 * Calls the store directly on behalf of another daemon, without relaying the call
-	 * further.
+	 * further. If the last direct call of this daemon failed, replies at once that the
+	 * store does not answer, so that the other daemon can choose another relay.
 	 * @param call the call
 	 * @param reply receives the answer
 	 */
 	void handle(PeerMessage.StoreCall call, Consumer<PeerMessage> reply) {
 		if (call instanceof PeerMessage.RelayAppend relay) {
-			this.direct.append(relay.shard(), relay.epoch(), relay.sequence(), relay.records())
+			callDirectly(() -> this.direct.append(relay.shard(), relay.epoch(), relay.sequence(), relay.records()))
 				.whenComplete((outcome, error) -> reply.accept(new PeerMessage.AppendRelayed(outcome)));
 		}
 		else if (call instanceof PeerMessage.RelayJoin relay) {
-			this.direct.join(relay.member(), relay.generation())
+			callDirectly(() -> this.direct.join(relay.member(), relay.generation()))
 				.whenComplete((assignment, error) -> reply.accept(new PeerMessage.JoinRelayed(assignment)));
 		}
 		else if (call instanceof PeerMessage.RelayRead relay) {
-			this.direct.readLatest(relay.shard(), relay.after())
+			callDirectly(() -> this.direct.readLatest(relay.shard(), relay.after()))
 				.whenComplete((page, error) -> reply.accept(new PeerMessage.ReadRelayed(page)));
 		}
 		else {
-			this.direct.shardHolders()
+			callDirectly(this.direct::shardHolders)
 				.whenComplete((holders, error) -> reply.accept(new PeerMessage.HoldersRelayed(holders)));
 		}
 	}
 
+	private <T> CompletableFuture<T> callDirectly(Supplier<CompletableFuture<T>> call) {
+		return this.lastCallFailed ? CompletableFuture.failedFuture(new IOException("the last call failed"))
+				: call.get();
+	}
+
 }
