Keep the connection to a daemon whose second reply waits for the store

If nothing else arrived for 0.6 s, the connection was closed, and the other daemon released the slots of requests that were still running. Cause: any overdue reply counted as a sign of a dead connection. Change: only an overdue first reply does. The release of slots was not reproduced.

--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
@@ -29,9 +29,9 @@
 import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
- * Connections to other daemons, one for each address. A connection is replaced if a reply
- * is overdue and no other data arrives on it. All methods must be called on the event
- * loop.
+ * Connections to other daemons, one for each address. A connection is replaced if the
+ * first reply to a request is overdue and no other data arrives on it. All methods must
+ * be called on the event loop.
  */
 public final class PeerLinks {
 
@@ -164,6 +164,7 @@
 				return;
 			}
 			pending.cancelTimer();
+			pending.answered = true;
 			if (decoded.message().isLastReply()) {
 				this.pendingReplies.remove(decoded.correlation());
 			}
@@ -212,6 +213,8 @@
 
 		private final ReplyListener listener;
 
+		private boolean answered;
+
 		private @Nullable Future<?> timer;
 
 		PendingReply(Link link, long correlation, ReplyListener listener) {
@@ -235,7 +238,8 @@
 				return;
 			}
 			long silenceNanos = PeerLinks.this.nanoClock.getAsLong() - this.link.lastReadNanos;
-			if (silenceNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MS)) {
+			// A second reply may wait for the store.
+			if (!this.answered && silenceNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MS)) {
 				this.link.close("silent");
 			}
 			this.listener.onFailure("peer " + this.link.address + " did not reply within " + timeoutMs + " ms");
