Refuse no turn as not run that may be running

Cause: the answers "uncertain" and "no such turn" did not regard that the turn had started, and a call in progress did not count as a possible run. Change: after the start, "uncertain" is asked again, and "no such turn" and a spent budget break the response off; before it a spent budget gives 402 also at a second owner. A call in progress counts as a possible run, so that 502 takes the place of 503. That a call in progress counts as a possible run has no test.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -351,7 +351,7 @@
 	}
 
 	boolean mayHaveRun() {
-		return this.mayHaveRun;
+		return this.mayHaveRun || this.currentCall != null;
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
@@ -102,16 +102,29 @@
 		switch (reply.status()) {
 			case OK -> handleReady(reply);
 			case NOT_OWNER -> retry("shard changes hands");
-			case BUDGET_SPENT -> {
-				if (this.opened) {
-					this.listener.aborted("token budget was spent while the owner changed");
-				}
-				else {
-					refuse(402, 0, "token budget is spent");
-				}
-			}
-			case NO_SUCH_TURN -> refuse(404, 0, "no such turn");
-			case UNCERTAIN -> refuse(503, HANDOVER_RETRY_AFTER_MS, "not every daemon said whether it has the turn");
+			case BUDGET_SPENT -> refuseOrAbort(402, "token budget is spent");
+			case NO_SUCH_TURN -> refuseOrAbort(404, "no such turn");
+			case UNCERTAIN -> handleUncertain();
+		}
+	}
+
+	// The turn may be running if it was opened with another owner before.
+	private void refuseOrAbort(int status, String reason) {
+		if (this.started) {
+			this.listener.aborted(reason + " at the new owner");
+		}
+		else {
+			refuse(status, 0, reason);
+		}
+	}
+
+	private void handleUncertain() {
+		String reason = "not every daemon said whether it has the turn";
+		if (this.started) {
+			retry(reason);
+		}
+		else {
+			refuse(503, HANDOVER_RETRY_AFTER_MS, reason);
 		}
 	}
 
