Keep turns for their whole retention if their end waits for the store

Cause: the time stamp was taken before the wait, and only the end of a turn extended its ancestors. Change: the stamp is the latest possible end of the response, and opening a turn retains the chain that it continues as long as the budget of its program. Measured: TurnShardTests.ancestorsOfOpenTurnAreRetained; its case without the new call shows the loss of the chain, its case with it finds all 3 turns.

--- a/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
+++ b/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
@@ -75,6 +75,21 @@
 		}
 	}
 
+	/**
+	 * Retains a turn with all its ancestors at least until a given time, because another
+	 * turn continues it.
+	 * @param id identifier of the turn
+	 * @param time the time
+	 */
+	public void retainChain(String id, Instant time) {
+		TurnRecord turn = this.turns.get(id);
+		Instant current = this.expiryTimes.get(id);
+		if (turn != null && current != null && current.isBefore(time)) {
+			this.expiryTimes.put(id, time);
+			extendAncestors(turn, time);
+		}
+	}
+
 	/**
 	 * Returns the budget of a program, creating it if necessary, and extends its
 	 * retention.
--- a/core/src/test/java/org/hemlockgw/core/turn/TurnShardTests.java
+++ b/core/src/test/java/org/hemlockgw/core/turn/TurnShardTests.java
@@ -66,6 +66,21 @@
 		assertThat((chain != null) ? chain.size() : 0).isEqualTo(expected);
 	}
 
+	// Guards against ancestors that expire while a turn that continues them is open.
+	@ParameterizedTest
+	@CsvSource({ "false, 0", "true, 3" })
+	void ancestorsOfOpenTurnAreRetained(boolean retained, int expected) {
+		add("a", null, 0);
+		add("b", "a", 50);
+		if (retained) {
+			this.shard.retainChain("b", START.plusSeconds(160));
+		}
+		this.shard.expire(START.plusSeconds(150), Duration.ofSeconds(5));
+		add("c", "b", 155);
+		List<TurnRecord> chain = this.shard.findChain("c");
+		assertThat((chain != null) ? chain.size() : 0).isEqualTo(expected);
+	}
+
 	@Test
 	void expireReturnsRemovedTurnsAndBudgets() {
 		add("a", null, 0);
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/TurnSession.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.gateway.entry;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
@@ -242,9 +243,14 @@
 		}
 	}
 
+	// Retention begins when the response ends, which may wait for the store.
+	private Instant latestEnd() {
+		return this.services.clock().instant().plusMillis(Math.max(0, this.deadline.remainingMs()));
+	}
+
 	private void sendEnd(boolean complete, byte[] input, byte[] output, int tokens, Runnable onStored) {
 		TurnRecord record = new TurnRecord(this.openTurn.turn(), this.openTurn.program(), this.openTurn.parent(), input,
-				output, this.services.clock().instant(), Duration.ofMillis(this.openTurn.retentionMs()));
+				output, latestEnd(), Duration.ofMillis(this.openTurn.retentionMs()));
 		Deadline endDeadline = new Deadline(this.services.nanoClock(),
 				Math.max(0, this.deadline.remainingMs()) + OwnerClient.STORE_TIMEOUT_MS);
 		new TurnEnd(this.services, new PeerMessage.CloseTurn(record, complete, tokens), endDeadline, onStored).send();
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -216,6 +216,9 @@
 		if (!budget.reserve(request.turn(), request.budgetTokens(), request.maxTokens())) {
 			return false;
 		}
+		if (request.parent() != null) {
+			this.state.retainChain(request.parent(), budget.retainedUntil());
+		}
 		this.writer.append(List.of(ShardCodec.encodeBudget(request.program(), budget)), stored);
 		return true;
 	}
