Reject identifiers that are too long for a key

Seen by callers: with a program or request identifier of 300 characters the connection was closed without an answer, and the shard of the program never wrote again. Cause: identifiers become keys of at most 255 bytes in the store. The encoder threw while the append counted as in progress. Change: identifiers of more than 120 characters are rejected with 400.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -30,6 +30,12 @@
 	 */
 	private static final long START_RETRY_AFTER_MS = 500;
 
+	/**
+	 * Maximum length of the identifiers of requests and programs in characters. They
+	 * become keys of at most 255 bytes in the store.
+	 */
+	private static final int MAX_IDENTIFIER_LENGTH = 120;
+
 	private static final byte[] NO_PROMPT = {};
 
 	private final Services services;
@@ -87,6 +93,10 @@
 			refuse(400, 0, "request identifier is missing");
 			return;
 		}
+		if (hasLongIdentifier()) {
+			refuse(400, 0, "an identifier is longer than " + MAX_IDENTIFIER_LENGTH + " characters");
+			return;
+		}
 		this.pool = route.selectPool(this.callerRequest.id().hashCode());
 		this.deadline = this.deadline.withLimit(Math.min(this.deadline.limitMs(), route.timeout().toMillis()));
 		this.log.routed(route.name(), routes.version(), this.pool, this.deadline);
@@ -111,6 +121,12 @@
 		session.open();
 	}
 
+	private boolean hasLongIdentifier() {
+		String program = this.callerRequest.program();
+		return this.callerRequest.id().length() > MAX_IDENTIFIER_LENGTH
+				|| (program != null && program.length() > MAX_IDENTIFIER_LENGTH);
+	}
+
 	private PeerMessage.@Nullable OpenTurn createOpenTurn(Route route) {
 		Duration retention = route.retention();
 		String program = this.callerRequest.program();
