Find chains that cross shards of the same daemon

Seen by callers: 404 for the third turn of a chain that crosses programs, if the shards of the first two programs were on the same daemon, although all turns had been answered whole (LOST). Cause: a chain that was found in another shard of the same daemon was used for the prompt but not stored in the shard of the program, as chains from other daemons are. The next turn of the program looks for its whole chain in one shard. Change: such chains are stored too.

--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ProgramOwner.java
@@ -61,6 +61,9 @@
 		}
 		List<TurnRecord> chain = findLocalChain(parent);
 		if (chain != null) {
+			if (shard.findChain(parent) == null) {
+				shard.importChain(chain);
+			}
 			reserve(shard, request, chain, reply);
 			return;
 		}
