Release results of calls only once their records are durable

In a log outage, callers got the end of a model turn or the answer of a service call with "durable":false. If all daemons died before the log was back, the history of a turn that was answered whole was gone. A repeat of the key said "durable":true although the record was in memory only.

Durability released everything that waited once an append had been outstanding for 2 s, and a repeat was answered from the state, which is ahead of the log.

A result now waits for the acknowledgement of its record. If the deadline of the call passes first, or the buffer refuses the record, the call fails MAY_HAVE_RUN with LOG_UNAVAILABLE, and a stream ends without its end marker. A late record is still written. A repeat waits for the newest batch of its program until its own deadline; since batches become durable in order, all earlier records are durable then. After a refused batch the repeat writes the state again. Durability remains for opened and ended programs.

Two tests encoded the old decision and are replaced by stricter ones. OwnerFailureTests.outageLetsTurnsGoOnAndRefusesIntentsAndNewPrograms expected "durable":false; it now requires that the turn is not released before its record is in the ledger. ConfigurationTests.runningProgramsGoOnDuringALogOutage expected whole answers during the outage; it now requires that the text of all four turns arrives, that none ends before the log is back, that all end whole then, and that they are in the history after the owner was killed.

Not run: the loss of all daemons with processes, and the new system test on the old code.

--- a/core/src/main/java/org/hemlockgw/core/program/CallResult.java
+++ b/core/src/main/java/org/hemlockgw/core/program/CallResult.java
@@ -9,8 +9,8 @@
  * @param status HTTP status of a service call; 200 for a model turn
  * @param body response body of a service call
  * @param turn number of the turn in the program, from 1; 0 for a service call
- * @param durable whether the record of the turn is in the log; {@code false} only during
- * a log outage
+ * @param durable whether the record of the call is in the log; owners release no result
+ * before
  */
 public record CallResult(String text, Usage usage, String finishReason, int status, byte[] body, int turn,
 		boolean durable) {
--- a/core/src/main/java/org/hemlockgw/core/program/CallTransitions.java
+++ b/core/src/main/java/org/hemlockgw/core/program/CallTransitions.java
@@ -29,11 +29,12 @@
 	}
 
 	/**
-	 * Returns the recorded result of a repeated request.
+	 * Returns the result of a repeated request from the state, which may be ahead of the
+	 * log. The caller releases it once the state is durable.
 	 * @param state state of the program
 	 * @param requestId idempotency key
 	 * @param digest digest of the repeated request
-	 * @return the recorded result, or {@code null} if the request still has to run
+	 * @return the result, or {@code null} if the request still has to run
 	 * @throws CallFailure if the key was used for a different request, if the call may
 	 * have run, or if the call ran and its result is no longer available
 	 */
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/CallQueue.java
@@ -177,7 +177,7 @@
 		this.context.after(left, () -> {
 			synchronized (cell.slot()) {
 				LiveCall open = handle.get();
-				if (open != null && !open.finished()) {
+				if (open != null) {
 					expireLocked(cell, open);
 				}
 			}
@@ -190,6 +190,11 @@
 			watchDeadline(cell, call);
 			return;
 		}
+		if (call.finished()) {
+			this.context.count("results.late");
+			closeLocked(cell, call, null, ResultRelease.late());
+			return;
+		}
 		String message = (call.phase() == LiveCall.Phase.WAITING) ? "step " + call.request().step()
 				+ " waited for its predecessor until its deadline; finished is step " + cell.state().calls().lastStep()
 				: "the deadline passed";
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/OwnerService.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/OwnerService.java
@@ -65,7 +65,8 @@
 	private static final long SWEEP_INTERVAL_MS = 1000;
 
 	/**
-	 * Delay with which results are released after the ledger reports an outage.
+	 * Delay with which opened and ended programs are confirmed after the ledger reports
+	 * an outage.
 	 */
 	private static final long OUTAGE_POLL_MS = 50;
 
@@ -147,7 +148,7 @@
 		}
 		CallResult replay = CallTransitions.replay(cell.state(), request.requestId(), digest);
 		if (replay != null) {
-			return replayed(replay, sink);
+			return replayedLocked(cell, request, replay, sink);
 		}
 		if (!cell.state().isRunning()) {
 			throw CallFailure.notRun(ErrorCode.PROGRAM_ENDED, "the program is " + cell.state().state());
@@ -161,15 +162,16 @@
 		return result;
 	}
 
-	private CompletableFuture<CallResult> replayed(CallResult result, EventSink sink) {
-		CompletableFuture<CallResult> answered = new CompletableFuture<>();
-		this.context.executor().execute(() -> {
+	// The result may be known from memory only.
+	private CompletableFuture<CallResult> replayedLocked(ProgramCell cell, CallRequest request, CallResult result,
+			EventSink sink) {
+		CompletableFuture<Void> append = this.writer.stateDurable(cell);
+		return ResultRelease.durableBefore(this.context, append, request.deadline()).thenApplyAsync((done) -> {
 			if (!result.text().isEmpty()) {
 				AnswerStream.send(sink, new CallEvent(0, (int) result.usage().completionTokens(), result.text()));
 			}
-			answered.complete(result);
-		});
-		return answered;
+			return result;
+		}, this.context.executor());
 	}
 
 	private void requireAllowed(CallRequest request) {
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramCell.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramCell.java
@@ -39,6 +39,8 @@
 
 	private CompletableFuture<Void> lastGrant = CompletableFuture.completedFuture(null);
 
+	private CompletableFuture<Void> lastAppend = CompletableFuture.completedFuture(null);
+
 	ProgramCell(ShardSlot slot, ProgramSnapshot state, long durableGrant) {
 		this.slot = slot;
 		this.state = new AtomicReference<>(state);
@@ -108,4 +110,13 @@
 		this.lastGrant = append;
 	}
 
+	// The newest batch. Batches become durable in order.
+	CompletableFuture<Void> lastAppend() {
+		return this.lastAppend;
+	}
+
+	void lastAppend(CompletableFuture<Void> append) {
+		this.lastAppend = append;
+	}
+
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ProgramLifecycle.java
@@ -237,7 +237,7 @@
 	}
 
 	private CompletableFuture<ProgramView> view(ProgramCell cell, CompletableFuture<Void> append) {
-		return this.context.durability().settled(append).thenApply((durable) -> cell.state().toView());
+		return this.context.durability().settled(append).thenApply((done) -> cell.state().toView());
 	}
 
 }
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/RecordWriter.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/RecordWriter.java
@@ -45,12 +45,24 @@
 				lost(changes);
 			}
 		});
+		changes.forEach((change) -> change.cell().lastAppend(append));
 		for (LedgerRecord.OfProgram record : batch) {
 			trackGrant(changes, record, append);
 		}
 		return append;
 	}
 
+	// Completes when the current state is durable. After a refused batch, the state is
+	// written again.
+	CompletableFuture<Void> stateDurable(ProgramCell cell) {
+		if (!cell.checkpointDue()) {
+			return cell.lastAppend();
+		}
+		cell.checkpointDue(false);
+		ProgramSnapshot state = cell.state();
+		return apply(cell, new Transition(state, List.of(new LedgerRecord.Checkpoint(state.id(), state.toRecord()))));
+	}
+
 	private static void addCheckpoint(Change change, List<LedgerRecord.OfProgram> batch) {
 		ProgramSnapshot before = change.before();
 		if (before != null && change.cell().checkpointDue()) {
--- a/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
@@ -16,8 +16,10 @@
 import org.hemlockgw.core.common.Verdict;
 import org.hemlockgw.core.control.ControlRecord;
 import org.hemlockgw.core.ledger.LedgerRecord.CallEnded;
+import org.hemlockgw.core.ledger.LedgerRecord.Checkpoint;
 import org.hemlockgw.core.ledger.LedgerRecord.Intent;
 import org.hemlockgw.core.ledger.LedgerRecord.ProgramRecord;
+import org.hemlockgw.core.ledger.LedgerRecord.TurnCompleted;
 import org.hemlockgw.core.program.CallKind;
 import org.hemlockgw.core.program.CallRequest;
 import org.hemlockgw.core.program.OpenProgram;
@@ -65,9 +67,8 @@
 		try (OwnerFixture f = new OwnerFixture()) {
 			f.open(PROGRAM, 100_000);
 			f.ledger.outage(true, 0.6);
-			OwnerFixture.Answer answer = OwnerFixture.get(f.append(PROGRAM, "k1", 1, "hello", 3));
-			assertThat(answer.events()).hasSize(3);
-			assertThat(answer.result().durable()).isFalse();
+			CompletableFuture<OwnerFixture.Answer> turn = f.append(PROGRAM, "k1", 1, "hello", 3);
+			CompletableFuture<Integer> recorded = turn.thenApply((a) -> f.ledger.records(TurnCompleted.class).size());
 			CallFailure order = OwnerFixture.failure(f.order(PROGRAM, "k2", 2, false));
 			assertThat(order.code()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
 			assertThat(order.verdict()).isEqualTo(Verdict.NOT_RUN);
@@ -75,12 +76,66 @@
 				.failure(f.owner.open(new OpenProgram(new ProgramId("a", "q"), 10, 1, Duration.ofHours(1))));
 			assertThat(open.code()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
 			assertThat(f.service.calls).isEmpty();
+			assertThat(turn.isDone()).isFalse();
 			f.ledger.outage(false, 0);
+			assertThat(OwnerFixture.get(recorded)).isEqualTo(1);
+			OwnerFixture.Answer answer = OwnerFixture.get(turn);
+			assertThat(answer.events()).hasSize(3);
+			assertThat(answer.result().durable()).isTrue();
 			OwnerFixture.get(f.order(PROGRAM, "k2", 2, false));
 			assertThat(f.service.executions("a/p/k2")).isEqualTo(1);
 		}
 	}
 
+	// Guards against an answer that its caller has and that is lost with all daemons.
+	@Example
+	void resultIsNotReleasedBeforeItsRecordIsDurable() {
+		try (OwnerFixture f = new OwnerFixture()) {
+			f.open(PROGRAM, 100_000);
+			f.ledger.outage(true, 0);
+			f.patience = Duration.ofMillis(500);
+			assertNotRecorded(f.append(PROGRAM, "k1", 1, "hello", 3));
+			assertNotRecorded(f.append(PROGRAM, "k1", 1, "hello", 3));
+			assertNotRecorded(f.order(PROGRAM, "k2", 2, true));
+			assertNotRecorded(f.order(PROGRAM, "k2", 2, true));
+			f.patience = Duration.ofSeconds(10);
+			CompletableFuture<OwnerFixture.Answer> turn = f.append(PROGRAM, "k1", 1, "hello", 3);
+			CompletableFuture<OwnerFixture.Answer> order = f.order(PROGRAM, "k2", 2, true);
+			assertThat(turn.isDone()).isFalse();
+			assertThat(order.isDone()).isFalse();
+			f.ledger.outage(false, 0);
+			assertThat(OwnerFixture.get(turn).result().durable()).isTrue();
+			assertThat(OwnerFixture.get(turn).result().turn()).isEqualTo(1);
+			assertThat(OwnerFixture.get(order).result().status()).isEqualTo(200);
+			assertThat(f.ledger.records(TurnCompleted.class)).hasSize(1);
+			assertThat(f.dispatcher.requests).hasSize(1);
+			assertThat(f.service.executions("a/p/k2")).isEqualTo(1);
+		}
+	}
+
+	// Guards against a repeat that is answered although its record did not fit the
+	// buffer.
+	@Example
+	void repeatWritesRecordThatWasRefused() {
+		try (OwnerFixture f = new OwnerFixture()) {
+			f.open(PROGRAM, 100_000);
+			f.ledger.mode(FakeLedger.Mode.FULL);
+			assertNotRecorded(f.order(PROGRAM, "k", 1, true));
+			assertNotRecorded(f.order(PROGRAM, "k", 1, true));
+			f.ledger.mode(FakeLedger.Mode.DURABLE);
+			assertThat(OwnerFixture.get(f.order(PROGRAM, "k", 1, true)).result().durable()).isTrue();
+			assertThat(f.service.executions("a/p/k")).isEqualTo(1);
+			Checkpoint written = f.ledger.records(Checkpoint.class).get(0);
+			assertThat(written.state().outcomes().get(0).verdict()).isEqualTo(Verdict.RAN);
+		}
+	}
+
+	private static void assertNotRecorded(CompletableFuture<?> call) {
+		CallFailure failure = OwnerFixture.failure(call);
+		assertThat(failure.code()).isEqualTo(ErrorCode.LOG_UNAVAILABLE);
+		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
 	// Guards against sending a call whose intent becomes durable after its refusal.
 	@Example
 	void intentThatIsNotDurableInTimeIsNeverSent() {
--- a/systemtest/src/test/java/org/hemlockgw/systemtest/ConfigurationTests.java
+++ b/systemtest/src/test/java/org/hemlockgw/systemtest/ConfigurationTests.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -104,22 +106,40 @@
 			Answer before = caller.turnUntilAnswered(system.callers(), "p1", "t0", history, 10);
 			history.add(new Message("assistant", before.text()));
 			system.log.set("{\"outage\":true}");
+			AtomicBoolean outage = new AtomicBoolean(true);
+			List<String> expected = new ArrayList<>();
+			List<CompletableFuture<Answer>> turns = new ArrayList<>();
+			List<CompletableFuture<Boolean>> early = new ArrayList<>();
 			for (int turn = 1; turn <= 4; turn++) {
 				history.add(new Message("user", "during " + turn));
-				Answer answer = caller.turn(system.callers().get(turn % 3), "p1", "t" + turn, history, 10);
-				assertThat(answer.text()).isEqualTo(TestSystem.expected(history, 10));
-				assertThat(answer.ok()).isTrue();
-				history.add(new Message("assistant", answer.text()));
+				String text = TestSystem.expected(history, 10);
+				StringBuffer streamed = new StringBuffer();
+				CompletableFuture<Answer> answer = caller.turnAsync(system.callers().get(turn % 3), "p1", "t" + turn, 0,
+						List.copyOf(history), 10, streamed::append);
+				turns.add(answer);
+				early.add(answer.thenApply((end) -> outage.get()));
+				Await.until("turn " + turn + " is generated", Duration.ofSeconds(20),
+						() -> streamed.toString().equals(text));
+				expected.add(text);
+				history.add(new Message("assistant", text));
+			}
+			for (int i = 0; i < 2; i++) {
+				Answer refused = caller.service(system.callers().get(0), "p1", "s-during" + i, 0, "svc", false);
+				assertThat(refused.code()).isEqualTo("log_unavailable");
 			}
+			outage.set(false);
 			system.log.set("{\"outage\":false}");
-			Await.until("the turns are in the ledger", Duration.ofSeconds(20),
-					() -> caller.service(system.callers().get(0), "p1", "s-after", 0, "svc", false)
-						.verdict()
-						.equals("RAN"));
+			for (int i = 0; i < turns.size(); i++) {
+				Answer answer = turns.get(i).get(30, TimeUnit.SECONDS);
+				assertThat(answer.ok()).isTrue();
+				assertThat(answer.text()).isEqualTo(expected.get(i));
+				assertThat(early.get(i).join()).isFalse();
+			}
 			system.ownerOf("t4").kill();
 			history.add(new Message("user", "after"));
 			Answer after = caller.turnUntilAnswered(system.callers(), "p1", "t5", history, 10);
 			assertThat(after.text()).isEqualTo(TestSystem.expected(history, 10));
+			assertThat(caller.program(system.callers().get(0), "p1").path("turns").asInt()).isEqualTo(6);
 		}
 	}
 
