--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -16,6 +16,8 @@
 
 	private static final long HEARTBEAT_MS = 1200;
 
+	private static final long DOWN_MS = 2000;
+
 	private final String id;
 
 	private final String service;
@@ -24,11 +26,13 @@
 
 	private final int slots;
 
-	private final long born = System.currentTimeMillis();
+	private volatile long born = System.currentTimeMillis();
 
 	private final Store store;
 
-	private final HttpListener listener;
+	private final String address;
+
+	private volatile HttpListener listener;
 
 	private final List<Run> runs = new CopyOnWriteArrayList<>();
 
@@ -36,6 +40,10 @@
 
 	private volatile Predicate<HttpListener.Request> answerLost = (request) -> false;
 
+	private volatile Predicate<HttpListener.Request> crashing = (request) -> false;
+
+	private volatile boolean down;
+
 	private volatile long eventMs = 20;
 
 	private volatile long workMs = 30;
@@ -51,6 +59,7 @@
 		this.zone = zone;
 		this.slots = slots;
 		this.listener = new HttpListener(this::handle);
+		this.address = this.listener.address();
 		Threads.start("heartbeat", this::report);
 	}
 
@@ -71,6 +80,33 @@
 		this.answerLost = selected;
 	}
 
+	/** Selects requests that crash the engine when it begins to run them. */
+	void crashOn(Predicate<HttpListener.Request> selected) {
+		this.crashing = selected;
+	}
+
+	// The engine is back after some seconds, under its id and address.
+	private synchronized void crash(String requestId) throws IOException {
+		if (this.down) {
+			return;
+		}
+		this.down = true;
+		Trace.line("crashed", "engine", this.id, "request", requestId);
+		this.listener.abort();
+		Threads.start("restart", () -> {
+			Threads.sleep(DOWN_MS);
+			try {
+				this.listener = new HttpListener(this.listener.port(), this::handle);
+				this.born = System.currentTimeMillis();
+				this.down = false;
+				Trace.line("restarted", "engine", this.id);
+			}
+			catch (IOException ex) {
+				Trace.say("engine " + this.id + " could not be restarted: " + ex);
+			}
+		});
+	}
+
 	List<Run> runs() {
 		return this.runs;
 	}
@@ -85,9 +121,13 @@
 
 	private void report() {
 		for (int sequence = 1; !this.closed; sequence++) {
+			if (this.down) {
+				Threads.sleep(HEARTBEAT_MS);
+				continue;
+			}
 			this.store.put("keyed.servers", this.id,
 					"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"cold_left_ms\":0,\"born\":%d,\"seq\":%d}"
-						.formatted(this.service, this.listener.address(), this.zone, this.slots, this.state, this.born,
+						.formatted(this.service, this.address, this.zone, this.slots, this.state, this.born,
 								sequence));
 			Threads.sleep(HEARTBEAT_MS);
 		}
@@ -126,6 +166,10 @@
 		this.runs.add(new Run(Trace.now(), requestId, this.id, request.method(), request.uri(), request.body(),
 				request.header("X-Previous-Turn"), request.header("X-Program-Id")));
 		Trace.line("ran", "request", requestId, "engine", this.id, "bytes", request.body().length);
+		if (this.crashing.test(request)) {
+			crash(requestId);
+			throw new IOException("the engine has crashed");
+		}
 		if (this.answerLost.test(request)) {
 			Threads.sleep(this.workMs);
 			Trace.line("answer-lost", "request", requestId, "engine", this.id);
--- a/review/standins/HttpListener.java
+++ b/review/standins/HttpListener.java
@@ -13,7 +13,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * HTTP/1.1 server with a thread for each connection. Serves one request at a time on a
@@ -25,13 +27,32 @@
 
 	private final Handler handler;
 
+	private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+
 	HttpListener(Handler handler) throws IOException {
+		this(0, handler);
+	}
+
+	HttpListener(int port, Handler handler) throws IOException {
 		this.handler = handler;
 		this.serverSocket = new ServerSocket();
-		this.serverSocket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
+		this.serverSocket.setReuseAddress(true);
+		this.serverSocket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 256);
 		Threads.start("listener", this::accept);
 	}
 
+	int port() {
+		return this.serverSocket.getLocalPort();
+	}
+
+	/** Closes the server and all its connections, as the end of its process does. */
+	void abort() throws IOException {
+		close();
+		for (Socket connection : this.connections) {
+			connection.close();
+		}
+	}
+
 	String address() {
 		return "127.0.0.1:" + this.serverSocket.getLocalPort();
 	}
@@ -49,6 +70,7 @@
 	}
 
 	private void serve(Socket socket) {
+		this.connections.add(socket);
 		try (socket) {
 			socket.setTcpNoDelay(true);
 			InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -63,6 +85,9 @@
 		catch (IOException ex) {
 			// The peer has closed the connection, or the handler does.
 		}
+		finally {
+			this.connections.remove(socket);
+		}
 	}
 
 	static String readLine(InputStream in) throws IOException {
