--- a/review/standins/Trace.java
+++ b/review/standins/Trace.java
@@ -43,7 +43,7 @@
 
 	/** Writes a line to the record and to standard output. */
 	static void say(String text) {
-		line("note", "", text);
+		line("note", "text", text);
 		System.out.println(text);
 	}
 
