Quarantine only content whose servers crashed and that none has processed

The digest of a request covered its path and its own body, but not the turns before it, so that different prompts had the same digest; requests without a body had none, since pages that many callers read would have been refused. And each response that was lost, cut or unusable counted as the loss of a server, although the server went on running.

Change: the digest covers method, host, path, query and the body that the server receives, the chain of a turn included, and is there for each request. A lost response counts only if its server accepts no connection 100 ms later; a connection opened for this check is kept for requests. A server that processes the content discards the reports about it, at all daemons and in the store, so that content which happened to be at crashing servers is served again. Reports of several daemons about one crash of a process count once. The check runs again before each send, not only when the request arrives.

The stand-in of an engine that crashes closed one connection only; it now ends as a process does and restarts after 600 ms, so that the tests wait until it serves the next request. The number of crashes that they allow is unchanged.

--- a/core/src/main/java/org/hemlockgw/core/retry/CrashHistory.java
+++ b/core/src/main/java/org/hemlockgw/core/retry/CrashHistory.java
@@ -11,7 +11,8 @@
 
 /**
  * Engine crashes by digest of the request content. Content whose requests crash engines
- * repeatedly is quarantined. Thread-safe.
+ * repeatedly, without being processed by any engine in between, is quarantined.
+ * Thread-safe.
  */
 public final class CrashHistory {
 
@@ -23,8 +24,13 @@
 
 	private static final int MAX_DIGESTS = 4096;
 
+	private static final int MAX_DISCARDED_REPORTS = 4096;
+
 	private final Map<String, CrashRecord> crashesByDigest = new LinkedHashMap<>();
 
+	// In the order in which they were discarded.
+	private final Set<CrashReport> discardedReports = new LinkedHashSet<>();
+
 	private final int quarantineThreshold;
 
 	public CrashHistory() {
@@ -66,15 +72,17 @@
 	}
 
 	/**
-	 * Records a crash that this daemon or another one has observed. Repeated reports and
-	 * reports about quarantined content change nothing.
+	 * Records a crash that this daemon or another one has observed. Repeated reports,
+	 * reports that {@link #recordSuccess} has discarded and reports about quarantined
+	 * content change nothing.
 	 * @param report the report
 	 * @param now current time
 	 * @return whether the crash was counted
 	 */
 	public synchronized boolean recordCrash(CrashReport report, Instant now) {
 		CrashRecord previous = this.crashesByDigest.get(report.digest());
-		if (isQuarantined(report.digest(), now) || (previous != null && previous.reports().contains(report))) {
+		if (isQuarantined(report.digest(), now) || this.discardedReports.contains(report)
+				|| (previous != null && previous.reports().stream().anyMatch(report::isSameCrash))) {
 			return false;
 		}
 		// The clocks of daemons differ, and the order of reports does too.
@@ -96,6 +104,26 @@
 		return (record != null) ? List.copyOf(record.reports()) : List.of();
 	}
 
+	/**
+	 * Records that an engine has processed this content without crashing. Crashes counted
+	 * so far had another cause, so they are discarded.
+	 * @param digest digest of the content
+	 * @return whether crashes were counted for it
+	 */
+	public synchronized boolean recordSuccess(String digest) {
+		CrashRecord record = this.crashesByDigest.remove(digest);
+		if (record == null) {
+			return false;
+		}
+		this.discardedReports.addAll(record.reports());
+		Iterator<CrashReport> oldest = this.discardedReports.iterator();
+		while (this.discardedReports.size() > MAX_DISCARDED_REPORTS) {
+			oldest.next();
+			oldest.remove();
+		}
+		return true;
+	}
+
 	private CrashRecord add(String digest, String engine, Instant now, int increment) {
 		CrashRecord previous = this.crashesByDigest.remove(digest);
 		CrashRecord next = (previous == null || now.isAfter(previous.lastCrash().plus(QUARANTINE_DURATION)))
--- a/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
+++ b/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
@@ -101,6 +101,41 @@
 		assertThat(crashes.isQuarantined("d", now)).isEqualTo(quarantined);
 	}
 
+	// Guards against one crash that counts several times because the same content was at
+	// the same engine for several callers.
+	@ParameterizedTest
+	@CsvSource({ "e1, 5, e1, 5, 300, false", "e1, 5, e1, 6, 300, true", "e1, 5, e2, 5, 300, true",
+			"e1, 5, e1, 5, 2000, true" })
+	void oneCrashOfProcessCountsOnce(String firstEngine, long firstStart, String secondEngine, long secondStart,
+			long laterMs, boolean quarantined) {
+		CrashHistory crashes = new CrashHistory(2);
+		Instant now = NOW.plusSeconds(5);
+		crashes.recordCrash(new CrashReport("d", firstEngine, firstStart, NOW), now);
+		crashes.recordCrash(new CrashReport("d", secondEngine, secondStart, NOW.plusMillis(laterMs)), now);
+		assertThat(crashes.isQuarantined("d", now)).isEqualTo(quarantined);
+	}
+
+	// Guards against content that is quarantined although engines process it.
+	@ParameterizedTest
+	@CsvSource({ "1, false", "2, false", "3, true", "4, true" })
+	void processedContentIsNotQuarantined(int laterCrashes, boolean quarantined) {
+		CrashHistory crashes = new CrashHistory(3);
+		Instant now = NOW.plusSeconds(1);
+		for (int i = 0; i < 3; i++) {
+			crashes.recordCrash(crashAt(i), now);
+		}
+		assertThat(crashes.recordSuccess("other")).isFalse();
+		assertThat(crashes.recordSuccess("d")).isTrue();
+		assertThat(crashes.isQuarantined("d", now)).isFalse();
+		for (int i = 0; i < 3; i++) {
+			assertThat(crashes.recordCrash(crashAt(i), now)).isFalse();
+		}
+		for (int i = 0; i < laterCrashes; i++) {
+			crashes.recordCrash(crashAt(100 + i), now);
+		}
+		assertThat(crashes.isQuarantined("d", now)).isEqualTo(quarantined);
+	}
+
 	// Guards against a quarantine that never ends because a report is from the future.
 	@ParameterizedTest
 	@CsvSource({ "0", "3000000" })
@@ -112,7 +147,7 @@
 	}
 
 	private static CrashReport crashAt(long offsetMs) {
-		return new CrashReport("d", "e1", NOW.plusMillis(offsetMs));
+		return new CrashReport("d", "e1", 0, NOW.plusMillis(offsetMs));
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/CrashLog.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/CrashLog.java
@@ -27,4 +27,11 @@
 	 */
 	CompletableFuture<Void> append(List<CrashReport> reports);
 
+	/**
+	 * Deletes all reports about some contents.
+	 * @param digests digests of the contents
+	 * @return completed once the deletion is durable
+	 */
+	CompletableFuture<Void> delete(Collection<String> digests);
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -123,11 +123,11 @@
 				this::notifyPeersOfAssignment);
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
 		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime);
+		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable,
 				() -> this.draining, this.membership,
-				new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
-				new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime),
-				new CrashingRequests(loop, clock, this.membership, this.peerLinks, crashLog),
+				new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient, serverConnections,
+				new CrashingRequests(loop, clock, this.membership, this.peerLinks, crashLog, serverConnections),
 				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics);
 	}
 
@@ -254,6 +254,9 @@
 		else if (message instanceof PeerMessage.ServerLost lost) {
 			this.services.crashingRequests().handle(lost);
 		}
+		else if (message instanceof PeerMessage.ContentProcessed processed) {
+			this.services.crashingRequests().handle(processed);
+		}
 		else {
 			logger.warn("ignoring unexpected message {} from {}", message.getClass().getSimpleName(), sender);
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashReportWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashReportWriter.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +35,8 @@
 
 	private final Set<CrashReport> waiting = new LinkedHashSet<>();
 
+	private final Set<String> waitingDeletions = new LinkedHashSet<>();
+
 	private Set<CrashReport> stored = Set.of();
 
 	private boolean writing;
@@ -75,6 +78,26 @@
 		flushLater(delayMs);
 	}
 
+	/**
+	 * Drops the reports about a content that wait to be written.
+	 * @param digest digest of the content
+	 */
+	void cancel(String digest) {
+		this.waiting.removeIf((report) -> report.digest().equals(digest));
+	}
+
+	/**
+	 * Deletes the reports about a content from the log.
+	 * @param digest digest of the content
+	 */
+	void delete(String digest) {
+		if (this.stored.stream().anyMatch((report) -> report.digest().equals(digest))
+				&& this.waitingDeletions.size() < MAX_WAITING_REPORTS) {
+			this.waitingDeletions.add(digest);
+			flush();
+		}
+	}
+
 	private void flushLater(long delayMs) {
 		if (this.flushScheduled) {
 			return;
@@ -88,23 +111,33 @@
 
 	private void flush() {
 		this.waiting.removeAll(this.stored);
-		if (this.writing || this.waiting.isEmpty()) {
+		if (this.writing || (this.waiting.isEmpty() && this.waitingDeletions.isEmpty())) {
 			return;
 		}
 		this.writing = true;
+		if (!this.waitingDeletions.isEmpty()) {
+			List<String> digests = List.copyOf(this.waitingDeletions);
+			this.log.delete(digests)
+				.whenComplete(
+						(done, error) -> handleWritten(error, () -> digests.forEach(this.waitingDeletions::remove)));
+			return;
+		}
 		List<CrashReport> batch = this.waiting.stream().limit(MAX_BATCH_SIZE).toList();
-		this.log.append(batch).whenComplete((done, error) -> {
-			this.writing = false;
-			if (error != null) {
-				logger.atWarn()
-					.addKeyValue(LogFields.REASON, error.getMessage())
-					.log("crash reports could not be stored; retrying");
-				flushLater(RETRY_DELAY_MS);
-				return;
-			}
-			batch.forEach(this.waiting::remove);
-			flush();
-		});
+		this.log.append(batch)
+			.whenComplete((done, error) -> handleWritten(error, () -> batch.forEach(this.waiting::remove)));
+	}
+
+	private void handleWritten(@Nullable Throwable error, Runnable onSuccess) {
+		this.writing = false;
+		if (error != null) {
+			logger.atWarn()
+				.addKeyValue(LogFields.REASON, error.getMessage())
+				.log("crash reports could not be stored; retrying");
+			flushLater(RETRY_DELAY_MS);
+			return;
+		}
+		onSuccess.run();
+		flush();
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
@@ -1,35 +1,32 @@
 package org.hemlockgw.gateway.entry;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.time.temporal.ChronoUnit;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HexFormat;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.FullHttpRequest;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.retry.CrashHistory;
 import org.hemlockgw.core.retry.CrashReport;
 import org.hemlockgw.gateway.CrashLog;
+import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.peer.PeerLinks;
 import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.slots.ServerProcess;
 import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
- * Tracks requests during which backend servers were lost, as seen by any daemon. Losses
- * are stored from the second one of a request on, since single ones are frequent and
- * calls to the store are priced. Requests without a body are not tracked: too many of
- * them are identical.
+ * Tracks requests during which backend servers crashed, as seen by any daemon. A lost
+ * response alone is no crash: its server must be unreachable, and no server may have
+ * processed the same content since. Crashes are stored from the second one of a content
+ * on, since single ones are frequent and calls to the store are priced.
  */
 public final class CrashingRequests {
 
@@ -44,11 +41,20 @@
 	/** Number of losses during a request from which on they are stored. */
 	private static final int MIN_STORED_LOSSES = 2;
 
+	/**
+	 * Time in milliseconds between the loss of a response and the check of its server. It
+	 * allows a crashing process to close all its sockets, and is short compared with a
+	 * restart, which takes seconds.
+	 */
+	private static final long PROBE_DELAY_MS = 100;
+
 	/** Time in which the daemon that observed a loss stores it. */
 	private static final long PEER_WRITE_DELAY_MS = 1000;
 
 	private final CrashHistory crashHistory = new CrashHistory(MAX_SERVER_LOSSES);
 
+	private final EventLoop loop;
+
 	private final InstantSource clock;
 
 	private final Membership membership;
@@ -59,14 +65,18 @@
 
 	private final CrashReportWriter writer;
 
+	private final HttpConnections serverConnections;
+
 	private boolean loaded;
 
 	public CrashingRequests(EventLoop loop, InstantSource clock, Membership membership, PeerLinks peerLinks,
-			CrashLog crashLog) {
+			CrashLog crashLog, HttpConnections serverConnections) {
+		this.loop = loop;
 		this.clock = clock;
 		this.membership = membership;
 		this.peerLinks = peerLinks;
 		this.crashLog = crashLog;
+		this.serverConnections = serverConnections;
 		this.writer = new CrashReportWriter(loop, crashLog);
 	}
 
@@ -97,26 +107,66 @@
 		return this.loaded;
 	}
 
-	boolean contains(FullHttpRequest request) {
-		return !this.crashHistory.isEmpty() && request.content().isReadable()
-				&& this.crashHistory.isQuarantined(digest(request), this.clock.instant());
+	boolean isQuarantined(RequestContent content) {
+		return !this.crashHistory.isEmpty() && this.crashHistory.isQuarantined(content.digest(), this.clock.instant());
 	}
 
 	/**
-	 * Records that a server was lost while it ran a request, and notifies the other
-	 * daemons.
-	 * @param request request that the server ran
-	 * @param server identifier of the server
+	 * Checks whether a server has crashed that sent no usable response to a request. If
+	 * so, the other daemons are notified.
+	 * @param content content that the server received
+	 * @param server the server
 	 */
-	void recordCrash(FullHttpRequest request, String server) {
-		if (!request.content().isReadable()) {
-			return;
-		}
-		CrashReport report = new CrashReport(digest(request), server,
+	void recordLostResponse(RequestContent content, ServerProcess server) {
+		CrashReport report = new CrashReport(content.digest(), server.server(), server.startedAtMs(),
 				this.clock.instant().truncatedTo(ChronoUnit.MILLIS));
+		this.loop.schedule(() -> this.serverConnections.probe(server.address(), (running) -> {
+			if (!running) {
+				recordCrash(report);
+			}
+		}), PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private void recordCrash(CrashReport report) {
 		add(report, 0);
-		PeerMessage.ServerLost lost = new PeerMessage.ServerLost(report.digest(), server, report.time().toEpochMilli());
-		this.membership.peerAddresses().forEach((peer) -> this.peerLinks.sendOneWay(peer, lost));
+		PeerMessage.ServerLost lost = new PeerMessage.ServerLost(report.digest(), report.engine(), report.startedAtMs(),
+				report.time().toEpochMilli());
+		sendToPeers(lost);
+	}
+
+	/**
+	 * Records that a server has processed a request to the end.
+	 * @param content content that the server received
+	 */
+	void recordProcessed(RequestContent content) {
+		if (this.crashHistory.isEmpty() || !discard(content.digest())) {
+			return;
+		}
+		this.writer.delete(content.digest());
+		sendToPeers(new PeerMessage.ContentProcessed(content.digest()));
+	}
+
+	private boolean discard(String digest) {
+		boolean discarded = this.crashHistory.recordSuccess(digest);
+		if (discarded) {
+			this.writer.cancel(digest);
+			logger.atInfo()
+				.addKeyValue(LogFields.DIGEST, digest)
+				.log("a server has processed this content; its reports of lost servers are discarded");
+		}
+		return discarded;
+	}
+
+	private void sendToPeers(PeerMessage message) {
+		this.membership.peerAddresses().forEach((peer) -> this.peerLinks.sendOneWay(peer, message));
+	}
+
+	/**
+	 * Handles the notification of another daemon that a server has processed a content.
+	 * @param processed the notification
+	 */
+	public void handle(PeerMessage.ContentProcessed processed) {
+		discard(processed.digest());
 	}
 
 	/**
@@ -124,7 +174,8 @@
 	 * @param lost the report
 	 */
 	public void handle(PeerMessage.ServerLost lost) {
-		add(new CrashReport(lost.digest(), lost.server(), Instant.ofEpochMilli(lost.timeMs())), PEER_WRITE_DELAY_MS);
+		add(new CrashReport(lost.digest(), lost.server(), lost.startedAtMs(), Instant.ofEpochMilli(lost.timeMs())),
+				PEER_WRITE_DELAY_MS);
 	}
 
 	private void add(CrashReport report, long writeDelayMs) {
@@ -141,16 +192,4 @@
 		}
 	}
 
-	private static String digest(FullHttpRequest request) {
-		try {
-			MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-			sha256.update(request.uri().getBytes(StandardCharsets.UTF_8));
-			sha256.update((byte) 0);
-			return HexFormat.of().formatHex(sha256.digest(ByteBufUtil.getBytes(request.content())), 0, 16);
-		}
-		catch (NoSuchAlgorithmException ex) {
-			throw new IllegalStateException("every Java platform must support SHA-256", ex);
-		}
-	}
-
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -107,10 +107,6 @@
 		this.serverAttempts = servers;
 		this.timeoutTimer = this.services.loop()
 			.schedule(() -> handleTimeout(servers), this.deadline.remainingMs(), TimeUnit.MILLISECONDS);
-		if (this.services.crashingRequests().contains(this.request)) {
-			refuse(503, 0, "servers were lost while they ran this request");
-			return;
-		}
 		if (openTurn == null) {
 			// Only turns begin programs; any other request of a program follows one.
 			servers.start(NO_PROMPT, this.callerRequest.program() != null);
@@ -317,7 +313,7 @@
 	/**
 	 * Handles responses of backend servers.
 	 */
-	private final class AttemptEvents extends FailureEvents implements ServerAttempts.Listener {
+	private final class AttemptEvents extends FailureEvents implements ServerAttemptListener {
 
 		@Override
 		public void received(ResponseRelay relay) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,6 +15,7 @@
 import org.hemlockgw.core.route.Route;
 import org.hemlockgw.gateway.net.HttpCall;
 import org.hemlockgw.gateway.net.HttpResponseListener;
+import org.hemlockgw.gateway.slots.ServerProcess;
 import org.hemlockgw.gateway.slots.Slot;
 
 /**
@@ -40,6 +40,8 @@
 	/** Number of failed connections after which a request is refused. */
 	private static final int MAX_CONNECT_FAILURES = 3;
 
+	private static final byte[] NO_PREFIX = {};
+
 	private final Services services;
 
 	private final CallerConnection caller;
@@ -56,11 +58,11 @@
 
 	private final RequestLog log;
 
-	private final Listener listener;
+	private final ServerAttemptListener listener;
 
 	private final Set<String> excludedServers = new HashSet<>();
 
-	private byte[] bodyPrefix = {};
+	private RequestContent content;
 
 	private boolean programStarted;
 
@@ -91,7 +93,7 @@
 	 * @param listener receives responses and failures until {@link #cancel()}
 	 */
 	ServerAttempts(Services services, CallerConnection caller, FullHttpRequest request, CallerRequest callerRequest,
-			Route route, String pool, Deadline deadline, RequestLog log, Listener listener) {
+			Route route, String pool, Deadline deadline, RequestLog log, ServerAttemptListener listener) {
 		this.services = services;
 		this.caller = caller;
 		this.request = request;
@@ -101,6 +103,7 @@
 		this.deadline = deadline;
 		this.log = log;
 		this.listener = listener;
+		this.content = new RequestContent(request, NO_PREFIX);
 	}
 
 	/**
@@ -109,7 +112,7 @@
 	 * @param programStarted whether the program of the request has opened a turn before
 	 */
 	void start(byte[] prefix, boolean programStarted) {
-		this.bodyPrefix = prefix;
+		this.content = new RequestContent(this.request, prefix);
 		this.programStarted = programStarted;
 		acquire();
 	}
@@ -120,6 +123,9 @@
 			this.listener.refused(503, 0, "too little time is left");
 			return;
 		}
+		if (refuseIfQuarantined()) {
+			return;
+		}
 		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(),
 				this.route.priority(), this.programStarted, this.callerRequest.programRemainingMs(this.deadline),
 				this.route.objective().toMillis(), remainingMs, this.callerRequest.prompt(),
@@ -128,6 +134,14 @@
 		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
 	}
 
+	private boolean refuseIfQuarantined() {
+		boolean quarantined = this.services.crashingRequests().isQuarantined(this.content);
+		if (quarantined) {
+			this.listener.refused(503, 0, "servers were lost while they ran this request");
+		}
+		return quarantined;
+	}
+
 	private Set<String> connectedServers() {
 		return this.services.slotClient()
 			.findServers(this.pool, (server) -> this.services.serverConnections().hasIdle(server.address()));
@@ -159,8 +173,8 @@
 			this.excludedServers.add(server);
 			acquire();
 		}
-		else {
-			send(server, address);
+		else if (!refuseIfQuarantined()) {
+			send(this.services.slotClient().findProcess(server, address));
 		}
 	}
 
@@ -172,18 +186,18 @@
 		}
 	}
 
-	private void send(String server, String address) {
+	private void send(ServerProcess server) {
 		this.sendCount++;
-		this.log.sent(server, this.sendCount);
-		ByteBuf requestBody = this.request.content();
-		ByteBuf body = Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(this.bodyPrefix), requestBody.retainedDuplicate());
+		this.log.sent(server.server(), this.sendCount);
+		ByteBuf body = this.content.retainedBody();
 		HttpRequest requestHead = this.services.wireFormat()
-			.toServerRequest(this.request, server, Math.max(1, this.deadline.remainingMs()), body.readableBytes());
+			.toServerRequest(this.request, server.server(), Math.max(1, this.deadline.remainingMs()),
+					body.readableBytes());
 		ResponseRelay relay = new ResponseRelay(this.services.wireFormat(), this.caller,
 				this.route.kind() == RequestKind.STREAMING, this.services.responseMemory());
 		this.response = relay;
 		this.currentCall = this.services.serverConnections()
-			.send(address, requestHead, body, new HttpResponseListener() {
+			.send(server.address(), requestHead, body, new HttpResponseListener() {
 				@Override
 				public boolean acceptHead(HttpResponse head, boolean reused) {
 					return acceptResponse(server, relay, head, reused);
@@ -206,7 +220,7 @@
 			});
 	}
 
-	private boolean acceptResponse(String server, ResponseRelay relay, HttpResponse head, boolean reused) {
+	private boolean acceptResponse(ServerProcess server, ResponseRelay relay, HttpResponse head, boolean reused) {
 		BackendResponse parsed = this.services.wireFormat().decode(head);
 		if (parsed.requestId() != null && !parsed.requestId().equals(this.callerRequest.id())) {
 			this.log.mismatchedResponse(parsed.requestId());
@@ -220,7 +234,7 @@
 		return true;
 	}
 
-	private void handleContent(String server, ResponseRelay relay, ByteBuf part) {
+	private void handleContent(ServerProcess server, ResponseRelay relay, ByteBuf part) {
 		if (this.cancelled || relay.backendResponse() == null) {
 			return;
 		}
@@ -231,7 +245,7 @@
 		this.listener.received(relay);
 	}
 
-	private void failResponse(String server, String cause) {
+	private void failResponse(ServerProcess server, String cause) {
 		HttpCall call = this.currentCall;
 		if (call != null) {
 			call.abort();
@@ -239,7 +253,7 @@
 		handleFailure(server, true, false, cause);
 	}
 
-	private void handleCompletion(String server, ResponseRelay relay) {
+	private void handleCompletion(ServerProcess server, ResponseRelay relay) {
 		this.currentCall = null;
 		BackendResponse parsed = relay.backendResponse();
 		if (this.cancelled || parsed == null) {
@@ -253,6 +267,7 @@
 			handleFailure(server, true, parsed.isSuccess(), "response is unsigned, incomplete or unfounded");
 			return;
 		}
+		this.services.crashingRequests().recordProcessed(this.content);
 		boolean serverError = parsed.status() >= 500;
 		releaseSlot(parsed.isSuccess() ? Math.max(1, relay.eventCount()) : 0, serverError);
 		this.mayHaveRun = true;
@@ -262,16 +277,16 @@
 		this.listener.answered(relay, parsed.status());
 	}
 
-	private void handleRejection(String server, int status) {
-		this.log.rejected(server, status);
+	private void handleRejection(ServerProcess server, int status) {
+		this.log.rejected(server.server(), status);
 		releaseSlot(0, true);
 		if (!tryAnotherServer(server)) {
 			this.listener.refused(503, SERVERS_RETRY_AFTER_MS, "servers are full");
 		}
 	}
 
-	private boolean tryAnotherServer(String server) {
-		this.excludedServers.add(server);
+	private boolean tryAnotherServer(ServerProcess server) {
+		this.excludedServers.add(server.server());
 		if (this.sendCount >= Math.max(1, this.route.maxAttempts()) || this.deadline.remainingMs() < MIN_REMAINING_MS) {
 			return false;
 		}
@@ -286,7 +301,7 @@
 		}
 	}
 
-	private void handleFailure(String server, boolean sent, boolean lost, String cause) {
+	private void handleFailure(ServerProcess server, boolean sent, boolean lost, String cause) {
 		this.currentCall = null;
 		if (this.cancelled) {
 			return;
@@ -294,7 +309,7 @@
 		if (!sent) {
 			this.sendCount--;
 		}
-		this.log.serverFailed(server, sent, this.sendCount, cause);
+		this.log.serverFailed(server.server(), sent, this.sendCount, cause);
 		releaseSlot(0, true);
 		if (!sent) {
 			this.connectFailures++;
@@ -305,7 +320,7 @@
 		}
 		this.mayHaveRun = true;
 		if (lost) {
-			this.services.crashingRequests().recordCrash(this.request, server);
+			this.services.crashingRequests().recordLostResponse(this.content, server);
 		}
 		if (isHeadSent()) {
 			this.listener.aborted(cause);
@@ -377,24 +392,4 @@
 		discardResponse();
 	}
 
-	/**
-	 * Receives responses and failures.
-	 */
-	interface Listener extends RequestFailureListener {
-
-		/**
-		 * Called when a part of a response was received.
-		 * @param relay the response
-		 */
-		void received(ResponseRelay relay);
-
-		/**
-		 * Called when the complete response to the request was received.
-		 * @param relay the response
-		 * @param status its HTTP status code
-		 */
-		void answered(ResponseRelay relay, int status);
-
-	}
-
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
@@ -50,7 +50,7 @@
 
 	private long requestSentNanos;
 
-	private long keepAliveMs;
+	private long keepAliveMs = HttpConnections.DEFAULT_KEEP_ALIVE_MS;
 
 	private long idleSinceNanos;
 
@@ -186,15 +186,24 @@
 		this.listener = null;
 		this.responseStarted = false;
 		completedCall.markEnded();
-		if (this.reusable && this.channel.isActive() && !this.decoder.hasUndecodedBytes()) {
-			this.channel.config().setAutoRead(true);
-			this.idleSinceNanos = this.connections.nanoTime();
-			this.connections.addIdle(this.address, this);
-		}
-		else {
+		offerForReuse();
+		responseListener.completed();
+	}
+
+	/**
+	 * Makes the connection available for the next request, or closes it if it can't carry
+	 * one.
+	 * @return whether it is available
+	 */
+	boolean offerForReuse() {
+		if (!this.reusable || !this.channel.isActive() || this.decoder.hasUndecodedBytes()) {
 			close();
+			return false;
 		}
-		responseListener.completed();
+		this.channel.config().setAutoRead(true);
+		this.idleSinceNanos = this.connections.nanoTime();
+		this.connections.addIdle(this.address, this);
+		return true;
 	}
 
 	private void fail(String cause) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpConnections.java
@@ -3,11 +3,13 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.regex.Pattern;
 
@@ -39,7 +41,7 @@
 	 * Idle time in milliseconds after which a connection is not reused, if the server
 	 * specifies none.
 	 */
-	private static final long DEFAULT_KEEP_ALIVE_MS = 4000;
+	static final long DEFAULT_KEEP_ALIVE_MS = 4000;
 
 	/**
 	 * Time in milliseconds by which a connection expires here before its server would
@@ -47,6 +49,13 @@
 	 */
 	private static final long KEEP_ALIVE_MARGIN_MS = 700;
 
+	/**
+	 * Time in milliseconds for which a new connection must stay open to prove that its
+	 * server is running. A network device before the server may accept connections in its
+	 * place.
+	 */
+	private static final long PROBE_DURATION_MS = 100;
+
 	private static final Pattern PORT_PATTERN = Pattern.compile("[1-9][0-9]{0,4}");
 
 	private static final int MAX_PORT = 65_535;
@@ -59,6 +68,8 @@
 
 	private final Map<String, Deque<HttpClientConnection>> idleConnections = new HashMap<>();
 
+	private final Map<String, List<Consumer<Boolean>>> pendingProbes = new HashMap<>();
+
 	private long openedConnections;
 
 	/**
@@ -95,8 +106,14 @@
 			this.loop.execute(() -> listener.failed(false, "'" + address + "' is not ip:port"));
 			return call;
 		}
+		connect(address, target).addListener(
+				(ChannelFuture connect) -> onConnected(connect.channel(), connect.cause(), head, body, call, listener));
+		return call;
+	}
+
+	private ChannelFuture connect(String address, InetSocketAddress target) {
 		this.openedConnections++;
-		new Bootstrap().group(this.loop)
+		return new Bootstrap().group(this.loop)
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.connectTimeoutMs)
@@ -109,10 +126,46 @@
 								new HttpClientConnection(HttpConnections.this, address, channel, decoder));
 				}
 			})
-			.connect(target)
-			.addListener((ChannelFuture connect) -> onConnected(connect.channel(), connect.cause(), head, body, call,
-					listener));
-		return call;
+			.connect(target);
+	}
+
+	/**
+	 * Determines whether a server is running. If no idle connection shows it, a new one
+	 * is opened, which is then available for requests.
+	 * @param address the IP address and port of the server
+	 * @param listener receives whether the server accepts connections
+	 */
+	public void probe(String address, Consumer<Boolean> listener) {
+		if (hasIdle(address)) {
+			listener.accept(true);
+			return;
+		}
+		InetSocketAddress target = parseAddress(address);
+		if (target == null) {
+			listener.accept(false);
+			return;
+		}
+		List<Consumer<Boolean>> listeners = this.pendingProbes.computeIfAbsent(address, (key) -> new ArrayList<>());
+		listeners.add(listener);
+		if (listeners.size() > 1) {
+			return;
+		}
+		connect(address, target).addListener((ChannelFuture connect) -> {
+			HttpClientConnection connection = connect.channel().pipeline().get(HttpClientConnection.class);
+			if (!connect.isSuccess() || connection == null) {
+				endProbe(address, false);
+				return;
+			}
+			this.loop.schedule(() -> endProbe(address, connection.offerForReuse()), PROBE_DURATION_MS,
+					TimeUnit.MILLISECONDS);
+		});
+	}
+
+	private void endProbe(String address, boolean running) {
+		List<Consumer<Boolean>> listeners = this.pendingProbes.remove(address);
+		if (listeners != null) {
+			listeners.forEach((listener) -> listener.accept(running));
+		}
 	}
 
 	private void onConnected(Channel channel, @Nullable Throwable cause, HttpRequest head, ByteBuf body, HttpCall call,
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -89,8 +89,14 @@
 			out.packString(hold.server());
 		}, (in) -> new PeerMessage.HoldSlot(in.unpackString(), FieldCodec.readSlotRequest(in), in.unpackString()));
 		add(13, PeerMessage.ServerLost.class,
-				(out, lost) -> out.packString(lost.digest()).packString(lost.server()).packLong(lost.timeMs()),
-				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackString(), in.unpackLong()));
+				(out, lost) -> out.packString(lost.digest())
+					.packString(lost.server())
+					.packLong(lost.startedAtMs())
+					.packLong(lost.timeMs()),
+				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackString(), in.unpackLong(),
+						in.unpackLong()));
+		add(30, PeerMessage.ContentProcessed.class, (out, processed) -> out.packString(processed.digest()),
+				(in) -> new PeerMessage.ContentProcessed(in.unpackString()));
 		add(14, PeerMessage.SlotQueued.class, (out, queued) -> {
 		}, (in) -> new PeerMessage.SlotQueued());
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -286,12 +286,23 @@
 	 * Notifies a daemon that a backend server was lost while it ran a request. Not
 	 * answered.
 	 *
-	 * @param digest digest of the request's path and body
+	 * @param digest digest of the request's content
 	 * @param server the server
+	 * @param startedAtMs start of the server's process in milliseconds since the epoch; 0
+	 * if unknown
 	 * @param timeMs time of the loss by the sender's clock in milliseconds since the
 	 * epoch
 	 */
-	record ServerLost(String digest, String server, long timeMs) implements PeerMessage {
+	record ServerLost(String digest, String server, long startedAtMs, long timeMs) implements PeerMessage {
+	}
+
+	/**
+	 * Notifies a daemon that a backend server has processed content for which losses of
+	 * servers were reported. Not answered.
+	 *
+	 * @param digest digest of the request's content
+	 */
+	record ContentProcessed(String digest) implements PeerMessage {
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -99,6 +99,21 @@
 		return found;
 	}
 
+	/**
+	 * Returns the process of a granted server.
+	 * @param server identifier of the server
+	 * @param address its IP address and port
+	 * @return the process
+	 */
+	public ServerProcess findProcess(String server, String address) {
+		for (PoolMember member : this.servers) {
+			if (member.id().equals(server)) {
+				return new ServerProcess(server, address, member.startedAtMs());
+			}
+		}
+		return new ServerProcess(server, address, 0);
+	}
+
 	/**
 	 * Returns whether a granted server must not be used, because this daemon knows of a
 	 * newer list than the scheduler.
--- a/standins/src/main/java/org/hemlockgw/standins/platform/RawEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/RawEngine.java
@@ -8,8 +8,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -23,10 +25,14 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(RawEngine.class);
 
-	private final ServerSocket socket = new ServerSocket();
-
 	private final Script script;
 
+	private final int port;
+
+	private volatile ServerSocket socket;
+
+	private volatile boolean closed;
+
 	private final String greeting;
 
 	private final Set<Socket> open = ConcurrentHashMap.newKeySet();
@@ -43,16 +49,56 @@
 	public RawEngine(Script script, String greeting) throws IOException {
 		this.script = script;
 		this.greeting = greeting;
-		this.socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		this.socket = listen(0);
+		this.port = this.socket.getLocalPort();
 		start(this::accept);
 	}
 
+	private static ServerSocket listen(int port) throws IOException {
+		ServerSocket listening = new ServerSocket();
+		listening.setReuseAddress(true);
+		listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+		return listening;
+	}
+
 	public String address() {
-		return "127.0.0.1:" + this.socket.getLocalPort();
+		return "127.0.0.1:" + this.port;
 	}
 
 	public boolean isClosed() {
-		return this.socket.isClosed();
+		return this.closed;
+	}
+
+	/**
+	 * Ends the engine as the end of its process does: it accepts no connections and all
+	 * open ones are closed.
+	 * @param downTime time until it is started again at its address
+	 */
+	public synchronized void crash(Duration downTime) throws IOException {
+		if (this.socket.isClosed()) {
+			return;
+		}
+		this.socket.close();
+		for (Socket connection : this.open) {
+			connection.close();
+		}
+		start(() -> restart(downTime));
+	}
+
+	private void restart(Duration delay) {
+		try {
+			TimeUnit.NANOSECONDS.sleep(delay.toNanos());
+			synchronized (this) {
+				if (this.closed) {
+					return;
+				}
+				this.socket = listen(this.port);
+			}
+			accept();
+		}
+		catch (IOException | InterruptedException ex) {
+			logger.warn("engine was not started again", ex);
+		}
 	}
 
 	private static void start(Runnable task) {
@@ -62,9 +108,10 @@
 	}
 
 	private void accept() {
-		while (!this.socket.isClosed()) {
+		ServerSocket listening = this.socket;
+		while (!listening.isClosed()) {
 			try {
-				Socket accepted = this.socket.accept();
+				Socket accepted = listening.accept();
 				accepted.setTcpNoDelay(true);
 				this.open.add(accepted);
 				start(() -> serve(accepted));
@@ -105,6 +152,7 @@
 		if (line == null) {
 			return null;
 		}
+		String uri = line.split(" ", 3)[1];
 		while (line != null && !line.isEmpty()) {
 			String[] parts = line.split(":", 2);
 			if (parts[0].equalsIgnoreCase("X-Request-Id")) {
@@ -123,11 +171,12 @@
 			}
 			read += count;
 		}
-		return new Request(id, new String(body));
+		return new Request(id, uri, new String(body));
 	}
 
 	@Override
-	public void close() throws IOException {
+	public synchronized void close() throws IOException {
+		this.closed = true;
 		this.socket.close();
 		for (Socket connection : this.open) {
 			connection.close();
@@ -154,9 +203,10 @@
 	 * Request of a daemon.
 	 *
 	 * @param id its identifier; empty if missing
+	 * @param uri its path and query
 	 * @param body its body
 	 */
-	public record Request(String id, String body) {
+	public record Request(String id, String uri, String body) {
 
 	}
 
--- a/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.standins.platform;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -14,9 +15,15 @@
 
 	private static final Logger logger = LoggerFactory.getLogger(SpoiltEngine.class);
 
-	/** Body of requests that crash an engine. */
+	/** Body, or end of the path, of requests that crash an engine. */
 	public static final String POISON = "poison";
 
+	/** End of the path of requests that take some time at a crashing engine. */
+	public static final String SLOW = "slow";
+
+	/** Time after which a crashed engine is started again. */
+	private static final Duration DOWN_TIME = Duration.ofMillis(600);
+
 	/** Interval of the events of an endless stream in milliseconds. */
 	private static final long EVENT_MS = 50;
 
@@ -93,10 +100,13 @@
 				return true;
 			}
 			case CRASHING -> {
-				if (received.body().equals(POISON)) {
-					out.resetOnClose();
+				if (received.body().equals(POISON) || received.uri().endsWith(POISON)) {
+					this.engine.crash(DOWN_TIME);
 					return false;
 				}
+				if (received.uri().endsWith(SLOW)) {
+					pause();
+				}
 				out.write(whole(request));
 				return true;
 			}
@@ -138,6 +148,15 @@
 		return false;
 	}
 
+	private static void pause() throws IOException {
+		try {
+			Thread.sleep(SLOW_MS);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException("stopped", ex);
+		}
+	}
+
 	private static String withoutId(String response, String request) {
 		return response.replace("X-Request-Id: " + request + "\r\n", "");
 	}
@@ -238,7 +257,7 @@
 		/** Properly, but each connection begins with an answer before any request. */
 		EARLY,
 
-		/** Properly, but {@link #POISON} resets its connection. */
+		/** Properly, but {@link #POISON} ends the engine, which restarts. */
 		CRASHING,
 
 		/** With events that never end. */
