Quarantine prompts instead of their last messages in the stand-alone daemon

Callers saw (in a test only): all programs that continue with the same tool result are refused for an hour after two engines died while such programs were running.

The digest of a model turn covered only the messages after the last answer, and deaths counted although engines had answered the same content since.

Ruled out: lost answers as deaths; the daemon resumes such a stream and counts a death only if the engine does not know it any more or can't be reached.

Change: the digest covers the whole prompt, and an answer discards the deaths counted for its content.

Measured: OwnerFailureTests.sharedMessageIsServedAfterEnginesDied red before (quarantined), green now; the other 19 tests of the package are green.

--- a/core/src/main/java/org/hemlockgw/core/program/RequestDigest.java
+++ b/core/src/main/java/org/hemlockgw/core/program/RequestDigest.java
@@ -42,20 +42,16 @@
 
 	/**
 	 * Returns the digest that identifies content that crashes engines, independent of
-	 * request identifiers. It covers only the messages after the last answer, which are
-	 * the same whether the caller sends the full history or only new messages.
+	 * request identifiers. It covers the whole prompt, because many programs continue
+	 * with the same message, such as the result of a tool.
 	 * @param model model name
 	 * @param prompt all messages of the prompt
 	 * @return 64 hex digits
 	 */
 	public static String ofContent(String model, List<Message> prompt) {
-		int from = prompt.size();
-		while (from > 0 && !prompt.get(from - 1).role().equals(MessageHistory.ASSISTANT)) {
-			from--;
-		}
 		RequestDigest digest = new RequestDigest();
 		digest.add(model);
-		digest.add(prompt.subList(from, prompt.size()));
+		digest.add(prompt);
 		return digest.hex();
 	}
 
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/CrashGuard.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/CrashGuard.java
@@ -30,6 +30,11 @@
 		return this.context.suspects().isSuspect(this.digest, this.context.now());
 	}
 
+	// Deaths that other content caused don't count against this one.
+	void processed() {
+		this.context.suspects().recordSuccess(this.digest);
+	}
+
 	// Counts an engine death. Returns true when the content is quarantined because of it.
 	boolean died(TurnAttempt attempt) {
 		Instant now = this.context.now();
--- a/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/owner/ModelTurn.java
@@ -230,6 +230,7 @@
 
 	private void succeeded(TurnAttempt attempt, DispatchResult result) {
 		updateLoad(result.load());
+		this.crashes.processed();
 		String text = this.call.answer().finish(attempt, result.text(), result.usage().completionTokens());
 		if (text == null) {
 			failed(attempt, CallFailure.mayHaveRun(ErrorCode.INTERNAL, "the answer differs from its events"));
--- a/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/owner/OwnerFailureTests.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -220,6 +222,25 @@
 		}
 	}
 
+	// Guards against a message that many programs continue with and that is quarantined
+	// because engines died while some of them did.
+	@Example
+	void sharedMessageIsServedAfterEnginesDied() {
+		try (OwnerFixture f = new OwnerFixture()) {
+			List<ProgramId> programs = List.of(PROGRAM, new ProgramId("a", "q"), new ProgramId("a", "r"));
+			for (ProgramId program : programs) {
+				f.open(program, 100_000);
+				OwnerFixture.get(f.append(program, "k1", 1, "task of " + program, 2));
+				Set<ProgramId> died = ConcurrentHashMap.newKeySet();
+				f.dispatcher.plans = (request) -> died.add(request.program()) ? FakeDispatcher.Plan.die(0)
+						: FakeDispatcher.Plan.OK;
+				OwnerFixture.get(f.append(program, "k2", 2, "tool: ok", 2));
+				f.dispatcher.plans = (request) -> FakeDispatcher.Plan.OK;
+			}
+			assertThat(f.control).isEmpty();
+		}
+	}
+
 	// Guards against a program that hangs with the dispatcher of its engine.
 	@Example
 	void stalledDispatcherIsReplaced() {
