Retain chains and budgets until their open turns have ended

Cause: the owner counted the retention of a chain and of a budget from the opening of a turn, so both expired while the turn was running if it lasted longer than the retention and its margin of 10 s. The turn was then stored without its ancestors, and its program began with an unused budget.

Ruled out: a search that missed a shard (all shards replied and were complete); the loss of the turn's own record (it is stored, its ancestors are not); the clocks of daemons (one machine); deletion at the callers' side (the same with all daemons up).

Change: a turn is opened with its remaining time, and chain and budget are retained for that time and the retention after it. Reservations are stored with the turn that they continue, so that a daemon that takes a shard over retains the chains of open turns too. Budgets that earlier versions stored are still read.

--- a/core/src/main/java/org/hemlockgw/core/turn/ProgramBudget.java
+++ b/core/src/main/java/org/hemlockgw/core/turn/ProgramBudget.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Token budget of one program: spent tokens and the reservations of its open turns.
  */
 public final class ProgramBudget {
 
-	private final Map<String, Integer> reservations;
+	private final Map<String, Reservation> reservations;
 
 	private final Set<String> settledTurns = new HashSet<>();
 
@@ -30,10 +32,10 @@
 	/**
 	 * Restores a budget.
 	 * @param spent tokens spent by settled turns
-	 * @param reservations reserved tokens by turn identifier
+	 * @param reservations reservations by turn identifier
 	 * @param retainedUntil time until which the budget is retained
 	 */
-	public ProgramBudget(long spent, Map<String, Integer> reservations, Instant retainedUntil) {
+	public ProgramBudget(long spent, Map<String, Reservation> reservations, Instant retainedUntil) {
 		this.spent = spent;
 		this.reservations = new HashMap<>(reservations);
 		this.retainedUntil = retainedUntil;
@@ -44,18 +46,18 @@
 	 * the turn already has a reservation.
 	 * @param turn identifier of the turn
 	 * @param limit budget of the program in tokens
-	 * @param maxTokens maximum number of tokens of the turn
+	 * @param reservation what to reserve
 	 * @return false if the remaining budget is too small; nothing is reserved in that
 	 * case
 	 */
-	public boolean reserve(String turn, long limit, int maxTokens) {
+	public boolean reserve(String turn, long limit, Reservation reservation) {
 		if (this.reservations.containsKey(turn)) {
 			return true;
 		}
-		if (this.spent + reserved() + maxTokens > limit) {
+		if (this.spent + reserved() + reservation.maxTokens() > limit) {
 			return false;
 		}
-		this.reservations.put(turn, maxTokens);
+		this.reservations.put(turn, reservation);
 		this.settledTurns.remove(turn);
 		return true;
 	}
@@ -99,13 +101,13 @@
 
 	public long reserved() {
 		long sum = 0;
-		for (int maxTokens : this.reservations.values()) {
-			sum += maxTokens;
+		for (Reservation reservation : this.reservations.values()) {
+			sum += reservation.maxTokens();
 		}
 		return sum;
 	}
 
-	public Map<String, Integer> reservations() {
+	public Map<String, Reservation> reservations() {
 		return Map.copyOf(this.reservations);
 	}
 
@@ -113,4 +115,14 @@
 		return this.retainedUntil;
 	}
 
+	/**
+	 * Reservation of an open turn.
+	 *
+	 * @param maxTokens maximum number of tokens that the turn generates
+	 * @param parent identifier of the turn that it continues; null if it starts a chain
+	 */
+	public record Reservation(int maxTokens, @Nullable String parent) {
+
+	}
+
 }
--- a/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
+++ b/core/src/main/java/org/hemlockgw/core/turn/TurnShard.java
@@ -95,7 +95,7 @@
 	 * retention.
 	 * @param program identifier of the program
 	 * @param now current time
-	 * @param retention how long the budget is retained after its last use
+	 * @param retention how long the budget is retained from now on
 	 * @return the budget
 	 */
 	public ProgramBudget getOrCreateBudget(String program, Instant now, Duration retention) {
@@ -104,6 +104,20 @@
 		return budget;
 	}
 
+	/**
+	 * Retains the chains that open turns continue as long as the budgets of their
+	 * programs. Must be called once all turns and budgets are restored.
+	 */
+	public void retainOpenChains() {
+		for (ProgramBudget budget : this.budgets.values()) {
+			for (ProgramBudget.Reservation open : budget.reservations().values()) {
+				if (open.parent() != null) {
+					retainChain(open.parent(), budget.retainedUntil());
+				}
+			}
+		}
+	}
+
 	public void restoreBudget(String program, ProgramBudget budget) {
 		this.budgets.put(program, budget);
 	}
--- a/core/src/test/java/org/hemlockgw/core/turn/TurnShardTests.java
+++ b/core/src/test/java/org/hemlockgw/core/turn/TurnShardTests.java
@@ -81,6 +81,23 @@
 		assertThat((chain != null) ? chain.size() : 0).isEqualTo(expected);
 	}
 
+	// Guards against ancestors that expire after a restart while a turn that continues
+	// them is open.
+	@ParameterizedTest
+	@CsvSource({ "b, 3", "a, 0", "'', 0" })
+	void ancestorsOfOpenTurnAreRetainedAfterRestart(String parent, int expected) {
+		ProgramBudget budget = new ProgramBudget(START.plusSeconds(160));
+		budget.reserve("c", 100, new ProgramBudget.Reservation(40, parent.isEmpty() ? null : parent));
+		this.shard.restoreBudget("p", budget);
+		add("a", null, 0);
+		add("b", "a", 50);
+		this.shard.retainOpenChains();
+		this.shard.expire(START.plusSeconds(150), Duration.ofSeconds(5));
+		add("c", "b", 155);
+		List<TurnRecord> chain = this.shard.findChain("c");
+		assertThat((chain != null) ? chain.size() : 0).isEqualTo(expected);
+	}
+
 	@Test
 	void expireReturnsRemovedTurnsAndBudgets() {
 		add("a", null, 0);
@@ -98,7 +115,7 @@
 		ProgramBudget budget = new ProgramBudget(START);
 		int granted = 0;
 		for (int turn = 0; turn < 5; turn++) {
-			granted += budget.reserve("t" + turn, limit, maxTokens) ? 1 : 0;
+			granted += budget.reserve("t" + turn, limit, tokens(maxTokens)) ? 1 : 0;
 		}
 		assertThat(granted).isEqualTo(admitted);
 	}
@@ -106,12 +123,12 @@
 	@Test
 	void settleReleasesUnusedReservation() {
 		ProgramBudget budget = new ProgramBudget(START);
-		assertThat(budget.reserve("a", 100, 80)).isTrue();
-		assertThat(budget.reserve("a", 100, 80)).isTrue();
-		assertThat(budget.reserve("b", 100, 80)).isFalse();
+		assertThat(budget.reserve("a", 100, tokens(80))).isTrue();
+		assertThat(budget.reserve("a", 100, tokens(80))).isTrue();
+		assertThat(budget.reserve("b", 100, tokens(80))).isFalse();
 		budget.settle("a", 20);
 		assertThat(budget.spent()).isEqualTo(20);
-		assertThat(budget.reserve("b", 100, 80)).isTrue();
+		assertThat(budget.reserve("b", 100, tokens(80))).isTrue();
 	}
 
 	// Guards against charging a turn twice when its end is sent again. The budget of the
@@ -121,17 +138,21 @@
 	void repeatedSettlementIsChargedOnce(boolean reserved, int settlements) {
 		ProgramBudget budget = new ProgramBudget(START);
 		if (reserved) {
-			assertThat(budget.reserve("t1", 100, 40)).isTrue();
+			assertThat(budget.reserve("t1", 100, tokens(40))).isTrue();
 		}
 		for (int i = 0; i < settlements; i++) {
 			budget.settle("t1", 30);
 		}
 		assertThat(budget.spent()).isEqualTo(30);
-		assertThat(budget.reserve("t2", 100, 70)).isTrue();
+		assertThat(budget.reserve("t2", 100, tokens(70))).isTrue();
 		budget.settle("t2", 70);
 		assertThat(budget.spent()).isEqualTo(100);
 	}
 
+	private static ProgramBudget.Reservation tokens(int count) {
+		return new ProgramBudget.Reservation(count, null);
+	}
+
 	private void add(String id, @Nullable String parent, long second) {
 		this.shard.add(new TurnRecord(id, "p", parent, new byte[0], new byte[0], START.plusSeconds(second),
 				Duration.ofSeconds(60)));
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -132,7 +132,7 @@
 		long budget = (this.callerRequest.tokenBudget() < 0) ? Long.MAX_VALUE / 2 : this.callerRequest.tokenBudget();
 		String parent = route.historyStored() ? this.callerRequest.previousTurn() : null;
 		return new PeerMessage.OpenTurn(this.callerRequest.id(), program, parent, budget,
-				this.callerRequest.maxTokens(), retention.toMillis());
+				this.callerRequest.maxTokens(), retention.toMillis(), Math.max(0, this.deadline.remainingMs()));
 	}
 
 	private void forward(ResponseRelay relay) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/OwnedShard.java
@@ -82,6 +82,7 @@
 			return;
 		}
 		this.ready = true;
+		this.state.retainOpenChains();
 		logger.atInfo()
 			.addKeyValue(LogFields.SHARD, this.number)
 			.addKeyValue(LogFields.EPOCH, this.writer.epoch())
@@ -211,9 +212,11 @@
 	 * @return false if the remaining budget is too small for the turn
 	 */
 	boolean reserve(PeerMessage.OpenTurn request, Consumer<Boolean> stored) {
+		// Retention begins when the turn ends, which is at its deadline at the latest.
 		ProgramBudget budget = this.state.getOrCreateBudget(request.program(), this.clock.instant(),
-				Duration.ofMillis(request.retentionMs()));
-		if (!budget.reserve(request.turn(), request.budgetTokens(), request.maxTokens())) {
+				Duration.ofMillis(request.remainingMs()).plusMillis(request.retentionMs()));
+		if (!budget.reserve(request.turn(), request.budgetTokens(),
+				new ProgramBudget.Reservation(request.maxTokens(), request.parent()))) {
 			return false;
 		}
 		if (request.parent() != null) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardCodec.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.msgpack.core.MessageBufferPacker;
@@ -24,6 +25,8 @@
 
 	private static final byte[] DELETED = {};
 
+	private static final String NO_PARENT = "";
+
 	/** Deletes a key that is never written; verifies that the writer is not fenced. */
 	static final KeyedValue CONFIRMATION = new KeyedValue("c", DELETED);
 
@@ -42,10 +45,13 @@
 
 	static KeyedValue encodeBudget(String program, ProgramBudget budget) {
 		try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-			Map<String, Integer> open = budget.reservations();
+			Map<String, ProgramBudget.Reservation> open = budget.reservations();
 			out.packLong(budget.spent()).packLong(budget.retainedUntil().toEpochMilli()).packMapHeader(open.size());
-			for (Map.Entry<String, Integer> entry : open.entrySet()) {
-				out.packString(entry.getKey()).packInt(entry.getValue());
+			for (Map.Entry<String, ProgramBudget.Reservation> entry : open.entrySet()) {
+				out.packString(entry.getKey()).packInt(entry.getValue().maxTokens());
+			}
+			for (ProgramBudget.Reservation reservation : open.values()) {
+				out.packString((reservation.parent() != null) ? reservation.parent() : NO_PARENT);
 			}
 			return new KeyedValue("p" + program, out.toByteArray());
 		}
@@ -79,15 +85,26 @@
 			}
 			long spent = in.unpackLong();
 			Instant keptUntil = Instant.ofEpochMilli(in.unpackLong());
-			Map<String, Integer> open = new HashMap<>();
-			for (int remaining = in.unpackMapHeader(); remaining > 0; remaining--) {
-				open.put(in.unpackString(), in.unpackInt());
-			}
-			shard.restoreBudget(record.key().substring(1), new ProgramBudget(spent, open, keptUntil));
+			shard.restoreBudget(record.key().substring(1), new ProgramBudget(spent, readReservations(in), keptUntil));
 		}
 		catch (RuntimeException ex) {
 			throw new IOException("damaged record " + record.key(), ex);
 		}
 	}
 
+	// Records of earlier versions end after the token counts.
+	private static Map<String, ProgramBudget.Reservation> readReservations(MessageUnpacker in) throws IOException {
+		Map<String, Integer> tokens = new LinkedHashMap<>();
+		for (int remaining = in.unpackMapHeader(); remaining > 0; remaining--) {
+			tokens.put(in.unpackString(), in.unpackInt());
+		}
+		Map<String, ProgramBudget.Reservation> reservations = new HashMap<>();
+		for (Map.Entry<String, Integer> entry : tokens.entrySet()) {
+			String parent = in.hasNext() ? in.unpackString() : NO_PARENT;
+			reservations.put(entry.getKey(),
+					new ProgramBudget.Reservation(entry.getValue(), parent.isEmpty() ? null : parent));
+		}
+		return reservations;
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -38,9 +38,12 @@
 		add(1, PeerMessage.OpenTurn.class, (out, open) -> {
 			out.packString(open.turn()).packString(open.program());
 			FieldCodec.writeNullableString(out, open.parent());
-			out.packLong(open.budgetTokens()).packInt(open.maxTokens()).packLong(open.retentionMs());
+			out.packLong(open.budgetTokens())
+				.packInt(open.maxTokens())
+				.packLong(open.retentionMs())
+				.packLong(open.remainingMs());
 		}, (in) -> new PeerMessage.OpenTurn(in.unpackString(), in.unpackString(), FieldCodec.readNullableString(in),
-				in.unpackLong(), in.unpackInt(), in.unpackLong()));
+				in.unpackLong(), in.unpackInt(), in.unpackLong(), in.unpackLong()));
 		add(2, PeerMessage.TurnOpened.class, (out, opened) -> {
 			out.packInt(opened.status().ordinal())
 				.packBoolean(opened.programStarted())
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -53,9 +53,10 @@
 	 * @param budgetTokens token budget of the program
 	 * @param maxTokens maximum number of tokens that the turn can generate
 	 * @param retentionMs retention time of turns on the route in milliseconds
+	 * @param remainingMs time in milliseconds within which the turn ends
 	 */
 	record OpenTurn(String turn, String program, @Nullable String parent, long budgetTokens, int maxTokens,
-			long retentionMs) implements PeerMessage {
+			long retentionMs, long remainingMs) implements PeerMessage {
 	}
 
 	/**
--- a/gateway/src/test/java/org/hemlockgw/gateway/owner/ShardCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/owner/ShardCodecTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 
 import io.netty.buffer.ByteBufUtil;
 import org.junit.jupiter.api.Test;
@@ -10,6 +11,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import org.hemlockgw.core.store.KeyedValue;
+import org.hemlockgw.core.turn.ProgramBudget;
 import org.hemlockgw.core.turn.TurnShard;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -34,6 +36,31 @@
 		}
 	}
 
+	// Guards against the chain of an open turn that expires after a restart.
+	@ParameterizedTest
+	@CsvSource({ "80, t1", "80, ''", "0, t1" })
+	void reservationsAreRestored(int tokens, String parent) throws IOException {
+		ProgramBudget budget = new ProgramBudget(Instant.ofEpochSecond(60));
+		ProgramBudget.Reservation open = new ProgramBudget.Reservation(tokens, parent.isEmpty() ? null : parent);
+		budget.reserve("t2", 100, open);
+		TurnShard shard = new TurnShard();
+		ShardCodec.decode(ShardCodec.encodeBudget("p", budget), shard);
+		assertThat(reservations(shard)).containsExactly("t2", open);
+	}
+
+	// Guards against budgets of earlier versions that can't be read.
+	@Test
+	void reservationsWithoutParentAreRead() throws IOException {
+		TurnShard shard = new TurnShard();
+		ShardCodec.decode(new KeyedValue("pp", ByteBufUtil.decodeHexDump("0005" + "81" + "a27432" + "50")), shard);
+		assertThat(reservations(shard)).containsExactly("t2", new ProgramBudget.Reservation(80, null));
+	}
+
+	private static Map<String, ProgramBudget.Reservation> reservations(TurnShard shard) {
+		ProgramBudget budget = shard.findBudget("p");
+		return (budget != null) ? budget.reservations() : Map.of();
+	}
+
 	// Guards against an overflow when expiry is checked.
 	@Test
 	void turnWithLongestRetentionIsKept() throws IOException {
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -36,10 +36,11 @@
 			List.of(new PromptPart("ab", 512)), Set.of("s1"), Set.of("s4"));
 
 	static Stream<PeerMessage> messages() {
-		return Stream.of(new PeerMessage.Hello("d1"), new PeerMessage.OpenTurn("t1", "p1", null, 5000, 80, 60_000),
-				new PeerMessage.OpenTurn("t1", "p1", "t0", 5000, 80, 60_000), new PeerMessage.ReservationStored(true),
-				new PeerMessage.TurnClosed(TurnStatus.NOT_OWNER), new PeerMessage.FindTurn("t1"),
-				new PeerMessage.AcquireSlot("pool", REQUEST),
+		return Stream.of(new PeerMessage.Hello("d1"),
+				new PeerMessage.OpenTurn("t1", "p1", null, 5000, 80, 60_000, 3000),
+				new PeerMessage.OpenTurn("t1", "p1", "t0", 5000, 80, 60_000, 3000),
+				new PeerMessage.ReservationStored(true), new PeerMessage.TurnClosed(TurnStatus.NOT_OWNER),
+				new PeerMessage.FindTurn("t1"), new PeerMessage.AcquireSlot("pool", REQUEST),
 				new PeerMessage.SlotAnswered(new SlotDecision("s1", "127.0.0.1:1", 0, "")),
 				new PeerMessage.SlotAnswered(SlotDecision.refused(250, "full")), new PeerMessage.SlotAnswered(null),
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
@@ -64,7 +64,7 @@
 		}
 		PeerLinks links = new PeerLinks(this.loop, "self", System::nanoTime);
 		this.loop.execute(() -> links.request("127.0.0.1:" + port,
-				new PeerMessage.OpenTurn("t", "p", null, 100, 10, 1000), timeoutMs, new ReplyListener() {
+				new PeerMessage.OpenTurn("t", "p", null, 100, 10, 1000, 1000), timeoutMs, new ReplyListener() {
 					@Override
 					public void onReply(PeerMessage message) {
 						PeerLinksTests.this.received.add((message instanceof PeerMessage.TurnOpened) ? "ok" : "stored");
