Bound response bodies of backend servers in the stand-alone daemon

Reported by another operator: a faulty engine sent bytes without end in a head or a body, and the process that had called it ran out of memory with the requests of others.

Cause: bodies of services, of errors and of control calls were read whole whatever their size, a line of a stream had no limit, and an engine could send more tokens than requested. Closing a body read the rest of it, so that even an error would not have ended the call.

--- a/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
@@ -124,6 +124,10 @@
 			throw CallFailure.mayHaveRun(ErrorCode.BACKEND_FAILED,
 					"engine sent token " + chunk.offset() + " instead of " + this.nextOffset);
 		}
+		if (chunk.offset() + chunk.tokens() > this.request.maxTokens()) {
+			throw CallFailure.mayHaveRun(ErrorCode.BACKEND_FAILED,
+					"engine sent more than " + this.request.maxTokens() + " tokens");
+		}
 		if (this.firstTokenAt == null) {
 			this.firstTokenAt = this.clock.instant();
 		}
--- a/remote/src/main/java/org/hemlockgw/remote/EngineStreamReader.java
+++ b/remote/src/main/java/org/hemlockgw/remote/EngineStreamReader.java
@@ -26,6 +26,9 @@
 
 	private static final String DONE = "[DONE]";
 
+	/** Maximum length of a line; an event is one token with its metadata. */
+	private static final int MAX_LINE_CHARS = 64 * 1024;
+
 	private final Consumer<EngineChunk> events;
 
 	private long offset = -1;
@@ -42,15 +45,14 @@
 		if (entity == null) {
 			throw new IOException("the stream has no body");
 		}
-		try (BufferedReader lines = new BufferedReader(
-				new InputStreamReader(entity.getContent(), StandardCharsets.UTF_8))) {
-			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-				if (line.startsWith(ID)) {
-					this.offset = Long.parseLong(line.substring(ID.length()).strip());
-				}
-				if (line.startsWith(DATA)) {
-					event(line.substring(DATA.length()).strip());
-				}
+		// The body is not closed, because that would read the rest of it.
+		BufferedReader lines = new BufferedReader(new InputStreamReader(entity.getContent(), StandardCharsets.UTF_8));
+		for (String line = readLine(lines); line != null; line = readLine(lines)) {
+			if (line.startsWith(ID)) {
+				this.offset = Long.parseLong(line.substring(ID.length()).strip());
+			}
+			if (line.startsWith(DATA)) {
+				event(line.substring(DATA.length()).strip());
 			}
 		}
 		if (this.last == null) {
@@ -59,6 +61,24 @@
 		return this.last;
 	}
 
+	private static @Nullable String readLine(BufferedReader in) throws IOException {
+		StringBuilder line = new StringBuilder();
+		int next = in.read();
+		if (next < 0) {
+			return null;
+		}
+		while (next >= 0 && next != '\n') {
+			if (line.length() >= MAX_LINE_CHARS) {
+				throw new IOException("a line of the stream is longer than " + MAX_LINE_CHARS + " characters");
+			}
+			if (next != '\r') {
+				line.append((char) next);
+			}
+			next = in.read();
+		}
+		return line.toString();
+	}
+
 	private void event(String data) throws IOException {
 		if (data.equals(DONE)) {
 			return;
--- a/remote/src/main/java/org/hemlockgw/remote/HttpCalls.java
+++ b/remote/src/main/java/org/hemlockgw/remote/HttpCalls.java
@@ -16,7 +16,6 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpEntity;
-import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.support.ClassicRequestBuilder;
 import org.jspecify.annotations.Nullable;
 
@@ -119,8 +118,8 @@
 
 	static byte[] bytes(ClassicHttpResponse response) throws IOException {
 		HttpEntity entity = response.getEntity();
-		byte[] bytes = (entity != null) ? EntityUtils.toByteArray(entity) : null;
-		return (bytes != null) ? bytes : new byte[0];
+		// The body is not closed, because that would read the rest of it.
+		return (entity != null) ? BodyMemory.SHARED.read(entity.getContent()) : new byte[0];
 	}
 
 	private static @Nullable Duration retryAfter(ClassicHttpResponse response) {
