Forward response parts once per read and count their overhead

Reported by another operator: bytes without end from a faulty engine took the requests of other clients with them.

Cause: each part of a stream was written and flushed to the caller by itself, and the memory for responses counted the content only, so that a part of one byte was as good as free. The event loop spent its time on system calls before the limit was reached.

Ruled out: memory (no OutOfMemoryError, heads, chunk sizes, trailers, informational responses and bodies of foreign responses without end were green before).

Change: parts are forwarded once all that one read brought have been received, and 64 bytes are counted for each part besides its content.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
@@ -17,6 +17,9 @@
  */
 final class ResponseRelay {
 
+	/** Memory in bytes that a part of the body takes besides its content. */
+	private static final int PART_OVERHEAD_BYTES = 64;
+
 	private static final byte[] NO_EVENT_DATA = {};
 
 	private final WireFormat wireFormat;
@@ -97,10 +100,11 @@
 	 */
 	boolean appendBody(ByteBuf part) {
 		// The data of a stream's events is kept after it was forwarded.
-		if (!this.memory.reserve(this.reservedBytes, part.readableBytes())) {
+		int bytes = part.readableBytes() + PART_OVERHEAD_BYTES;
+		if (!this.memory.reserve(this.reservedBytes, bytes)) {
 			return false;
 		}
-		this.reservedBytes += part.readableBytes();
+		this.reservedBytes += bytes;
 		if (this.scanner != null) {
 			this.scanner.append(part);
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -208,6 +208,11 @@
 					handleContent(server, relay, part);
 				}
 
+				@Override
+				public void partsReceived() {
+					ServerAttempts.this.listener.received(relay);
+				}
+
 				@Override
 				public void completed() {
 					handleCompletion(server, relay);
@@ -240,9 +245,7 @@
 		}
 		if (!relay.appendBody(part)) {
 			failResponse(server, "response is larger than the memory for responses");
-			return;
 		}
-		this.listener.received(relay);
 	}
 
 	private void failResponse(ServerProcess server, String cause) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
@@ -48,6 +48,8 @@
 
 	private boolean dataReceived;
 
+	private boolean partsPending;
+
 	private long requestSentNanos;
 
 	private long keepAliveMs = HttpConnections.DEFAULT_KEEP_ALIVE_MS;
@@ -138,6 +140,7 @@
 		if (msg instanceof HttpContent content && !this.skippingResponse && this.responseStarted) {
 			ByteBuf bytes = (content.content() != null) ? content.content() : Unpooled.EMPTY_BUFFER;
 			if (bytes.isReadable()) {
+				this.partsPending = true;
 				responseListener.contentReceived(bytes);
 			}
 		}
@@ -178,6 +181,7 @@
 		if (completedCall == null || completedCall.hasEnded()) {
 			return;
 		}
+		this.partsPending = false;
 		if (this.connectionReset) {
 			fail("connection to " + this.address + " was reset");
 			return;
@@ -206,7 +210,17 @@
 		return true;
 	}
 
+	private void deliverParts() {
+		HttpResponseListener responseListener = this.listener;
+		boolean pending = this.partsPending;
+		this.partsPending = false;
+		if (pending && responseListener != null && this.call != null && !this.call.hasEnded()) {
+			responseListener.partsReceived();
+		}
+	}
+
 	private void fail(String cause) {
+		deliverParts();
 		HttpCall failedCall = this.call;
 		HttpResponseListener responseListener = this.listener;
 		this.call = null;
@@ -222,6 +236,7 @@
 	// not form a response yet.
 	@Override
 	public void channelReadComplete(ChannelHandlerContext ctx) {
+		deliverParts();
 		if (this.listener == null && this.decoder.hasUndecodedBytes()) {
 			close();
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpResponseListener.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpResponseListener.java
@@ -23,6 +23,13 @@
 	 */
 	void contentReceived(ByteBuf part);
 
+	/**
+	 * Called when all parts of the body that have arrived were received. A server may
+	 * send a body in so many parts that forwarding each one would block others.
+	 */
+	default void partsReceived() {
+	}
+
 	/**
 	 * Called when the response is complete.
 	 */
--- a/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
@@ -132,6 +132,15 @@
 			case BODY_WITHOUT_END -> writeWithoutEnd(out, head(request) + "\r\n", FILLER);
 			case CHUNKS_WITHOUT_END -> writeWithoutEnd(out, head(request) + "Transfer-Encoding: chunked\r\n\r\n",
 					Integer.toHexString(FILLER.length()) + "\r\n" + FILLER + "\r\n");
+			case SMALL_CHUNKS_WITHOUT_END ->
+				writeWithoutEnd(out, head(request) + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n".repeat(500));
+			case CHUNK_LINE_WITHOUT_END ->
+				writeWithoutEnd(out, head(request) + "Transfer-Encoding: chunked\r\n\r\n5;x=", FILLER);
+			case TRAILERS_WITHOUT_END ->
+				writeWithoutEnd(out, head(request) + "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n",
+						"X-Filler: " + FILLER + "\r\n");
+			case INFORMATIONAL_WITHOUT_END -> writeWithoutEnd(out, "", "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100));
+			case FOREIGN_BODY_WITHOUT_END -> writeWithoutEnd(out, head("another") + "\r\n", FILLER);
 			case EVENT_WITHOUT_END ->
 				writeWithoutEnd(out, head(request) + "Content-Type: text/event-stream\r\n\r\ndata: ", FILLER);
 			case EVENTS_AT_FULL_SPEED -> writeWithoutEnd(out, head(request) + "Content-Type: text/event-stream\r\n\r\n",
@@ -287,6 +296,21 @@
 		/** With a chunked body that never ends. */
 		CHUNKS_WITHOUT_END,
 
+		/** With a chunked body of single bytes that never ends. */
+		SMALL_CHUNKS_WITHOUT_END,
+
+		/** With the size of a chunk that never ends. */
+		CHUNK_LINE_WITHOUT_END,
+
+		/** With trailers that never end. */
+		TRAILERS_WITHOUT_END,
+
+		/** With informational responses that never end. */
+		INFORMATIONAL_WITHOUT_END,
+
+		/** With a body to another request that never ends. */
+		FOREIGN_BODY_WITHOUT_END,
+
 		/** With a single event that never ends. */
 		EVENT_WITHOUT_END,
 
