Refuse requests that can't end within the grace period, and answer the others

Reported by another operator: in a planned stop requests that came late in the grace period were taken, passed on and cut off at its end without an answer, among them requests that may not be repeated.

Cause: a daemon that is shutting down closes idle connections once, after 2.2 s. A connection on which a request is being received at that moment stays open, and what arrives on it was sent to a server whatever time was left. At the end the process exited with its open requests, without an answer to any of them.

Ruled out: new connections (the listener is closed after 2.2 s) and idle connections (PlannedStopTests closes both; green before).

Change: once the balancer has stopped sending callers, a request whose deadline lies behind the end of the grace period is refused at once with 503, since it has not run. Requests that are still open at the end are answered: 503 if no server has received them, 502 otherwise. A stream that has begun is still cut.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import org.hemlockgw.gateway.entry.CrashingRequests;
 import org.hemlockgw.gateway.entry.ResponseMemory;
 import org.hemlockgw.gateway.entry.Services;
+import org.hemlockgw.gateway.entry.Shutdown;
 import org.hemlockgw.gateway.entry.WireFormat;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.HedgedStore;
@@ -69,10 +70,13 @@
 
 	/**
 	 * Fraction of the shutdown grace period in which open requests may finish; the rest
-	 * is reserved for the exit of the process.
+	 * is reserved for ending the others and for the exit of the process.
 	 */
 	private static final double DRAIN_FRACTION = 0.9;
 
+	/** Fraction of the shutdown grace period for ending unfinished requests. */
+	private static final double END_FRACTION = 0.05;
+
 	/**
 	 * Time in milliseconds for which callers are still accepted after the readiness check
 	 * has begun to fail. Balancers check once a second and need two failures.
@@ -106,7 +110,7 @@
 
 	private boolean hasSettled;
 
-	private volatile boolean draining;
+	private final Shutdown shutdown = new Shutdown(System::nanoTime);
 
 	public Gateway(EventLoop loop, GatewaySettings settings, StateStore store, CrashLog crashLog, WireFormat wireFormat,
 			InstantSource clock) {
@@ -124,9 +128,9 @@
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
 		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime);
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
-		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable,
-				() -> this.draining, this.membership,
-				new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient, serverConnections,
+		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable, this.shutdown,
+				this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
+				serverConnections,
 				new CrashingRequests(loop, clock, this.membership, this.peerLinks, crashLog, serverConnections),
 				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics);
 	}
@@ -199,7 +203,7 @@
 
 	private boolean isReady() {
 		this.hasSettled = this.hasSettled || this.membership.isReady();
-		return !this.draining && this.routingTable != null && this.serverListReceived && this.hasSettled
+		return !this.shutdown.isActive() && this.routingTable != null && this.serverListReceived && this.hasSettled
 				&& this.services.crashingRequests().isLoaded();
 	}
 
@@ -270,22 +274,28 @@
 
 	/**
 	 * Shuts down gracefully: reports not ready, hands over the shards, accepts callers
-	 * until their balancer has noticed, and lets open requests finish. Blocks the calling
-	 * thread, which must not be the event loop's.
+	 * until their balancer has noticed, and lets open requests finish. Those that last
+	 * longer than the grace period are answered with an error. Blocks the calling thread,
+	 * which must not be the event loop's.
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void stop() throws InterruptedException {
 		CountDownLatch callersClosed = new CountDownLatch(1);
 		long graceMs = this.settings.shutdownGrace().toMillis();
+		long drainMs = (long) (graceMs * DRAIN_FRACTION);
 		long readinessDelayMs = Math.min(READINESS_DELAY_MS, (long) (graceMs * READINESS_DELAY_FRACTION));
 		this.loop.execute(() -> {
-			this.draining = true;
+			this.shutdown.begin(readinessDelayMs + CallerConnection.FIRST_REQUEST_MS, drainMs);
 			logger.info("{} is shutting down with {} open caller connections", this.settings.name(),
 					this.callerConnections.size());
 			this.membership.leave(() -> logger.info("shards were handed over"));
 			this.loop.schedule(() -> closeCallers(callersClosed), readinessDelayMs, TimeUnit.MILLISECONDS);
 		});
-		boolean finished = callersClosed.await((long) (graceMs * DRAIN_FRACTION), TimeUnit.MILLISECONDS);
+		boolean finished = callersClosed.await(drainMs, TimeUnit.MILLISECONDS);
+		if (!finished) {
+			this.loop.execute(() -> List.copyOf(this.callerConnections).forEach(CallerConnection::endExchange));
+			callersClosed.await((long) (graceMs * END_FRACTION), TimeUnit.MILLISECONDS);
+		}
 		logger.info("{} stopped, all requests ended: {}", this.settings.name(), finished);
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -40,7 +40,7 @@
 	 * Time in milliseconds after it was accepted within which the first request of a
 	 * connection is expected.
 	 */
-	private static final long FIRST_REQUEST_MS = 300;
+	public static final long FIRST_REQUEST_MS = 300;
 
 	/** Maximum number of pipelined requests that wait for the current one. */
 	private static final int MAX_PIPELINED_REQUESTS = 16;
@@ -124,6 +124,17 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Ends the current request, because this daemon can't wait for its response.
+	 */
+	public void endExchange() {
+		this.pendingRequests.forEach(ReferenceCountUtil::release);
+		this.pendingRequests.clear();
+		if (this.currentExchange != null) {
+			this.currentExchange.endForShutdown();
+		}
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object msg) {
 		this.receiving = false;
@@ -196,7 +207,7 @@
 	void applyConnectionClose(HttpResponse response) {
 		Exchange exchange = this.currentExchange;
 		boolean closeRequested = exchange != null && !HttpUtil.isKeepAlive(exchange.request());
-		if (closeRequested || this.services.draining().getAsBoolean()) {
+		if (closeRequested || this.services.shutdown().isActive()) {
 			this.closing = true;
 		}
 		if (this.closing) {
@@ -214,7 +225,7 @@
 		if (finished != null) {
 			finished.request().release();
 		}
-		if (this.closing || (this.services.draining().getAsBoolean() && this.pendingRequests.isEmpty())) {
+		if (this.closing || (this.services.shutdown().isActive() && this.pendingRequests.isEmpty())) {
 			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -30,6 +30,12 @@
 	 */
 	private static final long START_RETRY_AFTER_MS = 500;
 
+	/**
+	 * Retry-After in milliseconds while this daemon shuts down; the caller's next
+	 * connection reaches another daemon.
+	 */
+	private static final long SHUTDOWN_RETRY_AFTER_MS = 50;
+
 	/**
 	 * Maximum length of the identifiers of requests and programs in characters. They
 	 * become keys of at most 255 bytes in the store.
@@ -100,6 +106,10 @@
 		this.pool = route.selectPool(this.callerRequest.id().hashCode());
 		this.deadline = this.deadline.withLimit(Math.min(this.deadline.limitMs(), route.timeout().toMillis()));
 		this.log.routed(route.name(), routes.version(), this.pool, this.deadline);
+		if (this.services.shutdown().isTooLateFor(this.deadline)) {
+			endForShutdown();
+			return;
+		}
 		PeerMessage.OpenTurn openTurn = createOpenTurn(route);
 		this.historyStored = route.historyStored();
 		ServerAttempts servers = new ServerAttempts(this.services, this.caller, this.request, this.callerRequest, route,
@@ -219,6 +229,18 @@
 		}
 	}
 
+	/**
+	 * Ends the request because this daemon shuts down.
+	 */
+	void endForShutdown() {
+		if (this.serverAttempts != null && this.serverAttempts.isHeadSent()) {
+			abort("daemon is shutting down");
+		}
+		else {
+			refuse(503, SHUTDOWN_RETRY_AFTER_MS, "daemon is shutting down");
+		}
+	}
+
 	void callerDisconnected() {
 		if (!this.ended) {
 			this.log.callerDisconnected();
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -1,7 +1,6 @@
 package org.hemlockgw.gateway.entry;
 
 import java.time.InstantSource;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -23,7 +22,7 @@
  * @param nanoClock monotonic clock in nanoseconds with an arbitrary origin
  * @param wireFormat format of HTTP headers
  * @param routes current routing table; null before a configuration is received
- * @param draining whether this daemon is shutting down
+ * @param shutdown graceful shutdown of this daemon
  * @param membership assignment of shards to daemons
  * @param ownerClient client of the owners of programs
  * @param slotClient client of the schedulers of pools
@@ -33,7 +32,7 @@
  * @param metrics metrics of this daemon
  */
 public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wireFormat,
-		Supplier<@Nullable RoutingTable> routes, BooleanSupplier draining, Membership membership,
-		OwnerClient ownerClient, SlotClient slotClient, HttpConnections serverConnections,
-		CrashingRequests crashingRequests, ResponseMemory responseMemory, Metrics metrics) {
+		Supplier<@Nullable RoutingTable> routes, Shutdown shutdown, Membership membership, OwnerClient ownerClient,
+		SlotClient slotClient, HttpConnections serverConnections, CrashingRequests crashingRequests,
+		ResponseMemory responseMemory, Metrics metrics) {
 }
--- a/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/SpoiltEngine.java
@@ -33,6 +33,9 @@
 	/** Interval of the parts of a slow response in milliseconds. */
 	private static final long SLOW_MS = 250;
 
+	/** Time in milliseconds that a late response takes. */
+	private static final long LATE_MS = 1200;
+
 	/** Delay in milliseconds of bytes that follow a complete response. */
 	private static final long LATER_MS = 50;
 
@@ -105,11 +108,16 @@
 					return false;
 				}
 				if (received.uri().endsWith(SLOW)) {
-					pause();
+					pause(SLOW_MS);
 				}
 				out.write(whole(request));
 				return true;
 			}
+			case LATE -> {
+				pause(LATE_MS);
+				out.write(whole(request));
+				return true;
+			}
 			case ENDLESS -> stream(out, request);
 			case LATE_COPY, LATE_COPY_WITHOUT_ID -> {
 				out.write(out.earlierAnswer() + whole(request));
@@ -157,9 +165,9 @@
 		return false;
 	}
 
-	private static void pause() throws IOException {
+	private static void pause(long ms) throws IOException {
 		try {
-			Thread.sleep(SLOW_MS);
+			Thread.sleep(ms);
 		}
 		catch (InterruptedException ex) {
 			throw new IOException("stopped", ex);
@@ -269,6 +277,9 @@
 		/** Properly, but {@link #POISON} ends the engine, which restarts. */
 		CRASHING,
 
+		/** Properly, but after more than a second. */
+		LATE,
+
 		/** With events that never end. */
 		ENDLESS,
 
