Send nothing to servers that have stated that they are leaving

Cause: a daemon learned of a leaving server from the list only, which lags, may not be readable, and still shows some servers as ready when they leave.

Change: the statement is kept for the process that made it, by identifier and start time; a later process with the same identifier is used. The server is treated as draining by the schedulers of all daemons, which are notified, and a granted slot at it is given back. A response of another server at the same address (421) does not count.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolMember.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolMember.java
@@ -13,4 +13,9 @@
  */
 public record PoolMember(String id, String pool, String address, String dataCentre, int slots, boolean draining,
 		long startedAtMs) {
+
+	PoolMember withDraining() {
+		return new PoolMember(this.id, this.pool, this.address, this.dataCentre, this.slots, true, this.startedAtMs);
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -246,6 +246,9 @@
 		else if (message instanceof PeerMessage.HoldSlot hold) {
 			this.slotClient.handle(hold);
 		}
+		else if (message instanceof PeerMessage.ServerLeaving leaving) {
+			this.slotClient.handle(leaving);
+		}
 		else if (message instanceof PeerMessage.StoreCall call) {
 			this.membership.relay(call, reply);
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/BackendResponse.java
@@ -9,10 +9,12 @@
  * @param requestId identifier of the request that was answered; null if not given
  * @param signed whether the response carries the server's signature
  * @param notRun whether the server states that it did not run the request
+ * @param leaving whether the server states that it is leaving
  * @param encoded whether the body has a content encoding, so it is not in the form in
  * which the server sent it
  */
-public record BackendResponse(int status, @Nullable String requestId, boolean signed, boolean notRun, boolean encoded) {
+public record BackendResponse(int status, @Nullable String requestId, boolean signed, boolean notRun, boolean leaving,
+		boolean encoded) {
 
 	/**
 	 * Returns whether the response can be attributed to a request. A success or a
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -235,6 +235,9 @@
 			failResponse(server, "response names no request");
 			return false;
 		}
+		if (parsed.leaving()) {
+			this.services.slotClient().recordLeaving(server);
+		}
 		relay.setHead(head, parsed);
 		return true;
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -306,6 +306,17 @@
 	record ContentProcessed(String digest) implements PeerMessage {
 	}
 
+	/**
+	 * Notifies a daemon that a backend server has stated that it is leaving. Not
+	 * answered.
+	 *
+	 * @param server the server
+	 * @param startedAtMs start of the server's process in milliseconds since the epoch; 0
+	 * if unknown
+	 */
+	record ServerLeaving(String server, long startedAtMs) implements PeerMessage {
+	}
+
 	/**
 	 * Store call on behalf of a daemon whose own calls to the store fail.
 	 */
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -17,6 +17,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.core.pool.LeavingServers;
 import org.hemlockgw.core.pool.PoolMember;
 import org.hemlockgw.core.pool.PoolScheduler;
 import org.hemlockgw.core.pool.SlotDecision;
@@ -57,8 +58,12 @@
 
 	private final Map<String, PoolScheduler> schedulers = new HashMap<>();
 
+	private List<PoolMember> listedServers = List.of();
+
 	private List<PoolMember> servers = List.of();
 
+	private final LeavingServers leavingServers = new LeavingServers();
+
 	private final WithdrawnServers withdrawnServers = new WithdrawnServers();
 
 	private final Set<Slot> openSlots = new HashSet<>();
@@ -75,12 +80,42 @@
 	 * @param servers the complete list
 	 */
 	public void updateServers(List<PoolMember> servers) {
-		this.servers = List.copyOf(servers);
-		this.withdrawnServers.update(servers);
+		this.listedServers = List.copyOf(servers);
+		applyServers(this.leavingServers.apply(servers));
+	}
+
+	private void applyServers(List<PoolMember> members) {
+		this.servers = List.copyOf(members);
+		this.withdrawnServers.update(members);
 		Map<String, List<PoolMember>> byPool = new HashMap<>();
 		this.schedulers.keySet().forEach((pool) -> byPool.put(pool, new ArrayList<>()));
-		servers.forEach((member) -> byPool.computeIfAbsent(member.pool(), (pool) -> new ArrayList<>()).add(member));
-		byPool.forEach((pool, members) -> scheduler(pool).updateServers(members));
+		members.forEach((member) -> byPool.computeIfAbsent(member.pool(), (pool) -> new ArrayList<>()).add(member));
+		byPool.forEach((pool, list) -> scheduler(pool).updateServers(list));
+	}
+
+	/**
+	 * Records that a server has stated that it is leaving, and notifies the other
+	 * daemons. It receives no new requests from then on.
+	 * @param server the server
+	 */
+	public void recordLeaving(ServerProcess server) {
+		if (addLeaving(server.server(), server.startedAtMs())) {
+			PeerMessage.ServerLeaving leaving = new PeerMessage.ServerLeaving(server.server(), server.startedAtMs());
+			this.membership.peerAddresses().forEach((peer) -> this.peerLinks.sendOneWay(peer, leaving));
+		}
+	}
+
+	public void handle(PeerMessage.ServerLeaving leaving) {
+		addLeaving(leaving.server(), leaving.startedAtMs());
+	}
+
+	private boolean addLeaving(String server, long startedAtMs) {
+		boolean added = this.leavingServers.add(server, startedAtMs);
+		if (added) {
+			logger.atInfo().addKeyValue(LogFields.SERVER, server).log("server has stated that it is leaving");
+			applyServers(this.leavingServers.apply(this.listedServers));
+		}
+		return added;
 	}
 
 	/**
@@ -115,13 +150,17 @@
 	}
 
 	/**
-	 * Returns whether a granted server must not be used, because this daemon knows of a
-	 * newer list than the scheduler.
+	 * Returns whether a granted server must not be used, because this daemon knows more
+	 * about it than the scheduler.
 	 * @param server identifier of the server
-	 * @return true if the server is draining or was removed
+	 * @return true if the server is draining, leaving or was removed
 	 */
 	public boolean isWithdrawn(String server) {
-		return this.withdrawnServers.contains(server);
+		return this.withdrawnServers.contains(server) || (!isListed(server) && this.leavingServers.contains(server, 0));
+	}
+
+	private boolean isListed(String server) {
+		return this.servers.stream().anyMatch((member) -> member.id().equals(server));
 	}
 
 	private PoolScheduler scheduler(String pool) {
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -46,13 +46,13 @@
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
 				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
 				new PeerMessage.ServerLost("abc", "s1", 1_796_463_000_000L, 1_796_463_045_915L),
-				new PeerMessage.ContentProcessed("abc"), new PeerMessage.ShardFenced(3, 8),
-				new PeerMessage.RelayHolders(), new PeerMessage.RelayAppend(3, 8, 2, List.of()),
-				new PeerMessage.AppendRelayed(null), new PeerMessage.AppendRelayed(AppendOutcome.FENCED),
-				new PeerMessage.RelayJoin("d1", 4), new PeerMessage.JoinRelayed(null),
-				new PeerMessage.JoinRelayed(new ShardAssignment(4, Set.of(1, 2))), new PeerMessage.RelayRead(3, "k"),
-				new PeerMessage.ReadRelayed(null), new PeerMessage.ReadRelayed(new RecordPage(List.of(), true)),
-				new PeerMessage.HoldersRelayed(null),
+				new PeerMessage.ContentProcessed("abc"), new PeerMessage.ServerLeaving("s1", 1_796_463_000_000L),
+				new PeerMessage.ShardFenced(3, 8), new PeerMessage.RelayHolders(),
+				new PeerMessage.RelayAppend(3, 8, 2, List.of()), new PeerMessage.AppendRelayed(null),
+				new PeerMessage.AppendRelayed(AppendOutcome.FENCED), new PeerMessage.RelayJoin("d1", 4),
+				new PeerMessage.JoinRelayed(null), new PeerMessage.JoinRelayed(new ShardAssignment(4, Set.of(1, 2))),
+				new PeerMessage.RelayRead(3, "k"), new PeerMessage.ReadRelayed(null),
+				new PeerMessage.ReadRelayed(new RecordPage(List.of(), true)), new PeerMessage.HoldersRelayed(null),
 				new PeerMessage.HoldersRelayed(new ShardHolders(4, Map.of(0, "d1", 1, "d2"))));
 	}
 
--- a/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
@@ -30,6 +30,8 @@
 
 	private volatile long pauseMs;
 
+	private volatile boolean leaving;
+
 	public TurnEngine(String id) {
 		this.id = id;
 		this.server = new StandinHttpServer("127.0.0.1:0", this::handle);
@@ -84,9 +86,20 @@
 		this.pauseMs = pause;
 	}
 
+	/**
+	 * Sets whether all responses state that the engine is leaving.
+	 * @param value whether it is leaving
+	 */
+	public void setLeaving(boolean value) {
+		this.leaving = value;
+	}
+
 	private void handle(Exchange exchange) throws IOException {
 		String request = String.valueOf(exchange.header("X-Request-Id"));
 		exchange.setHeader("X-Request-Id", request);
+		if (this.leaving) {
+			exchange.setHeader("Server-Leaving", "1");
+		}
 		if (!this.id.equals(exchange.header("X-Target-Instance"))) {
 			exchange.setHeader("X-Instance-Id", this.id);
 			exchange.respondError(421, "another engine");
