--- a/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
+++ b/daemon/src/main/java/org/hemlockgw/daemon/dispatch/Attempt.java
@@ -125,7 +125,8 @@
 					"engine sent token " + chunk.offset() + " instead of " + this.nextOffset);
 		}
 		if (chunk.offset() + chunk.tokens() > this.request.maxTokens()) {
-			throw CallFailure.mayHaveRun(ErrorCode.BACKEND_FAILED,
+			// The engine has not died, so this must not count against the content.
+			throw CallFailure.mayHaveRun(ErrorCode.BACKEND_UNAVAILABLE,
 					"engine sent more than " + this.request.maxTokens() + " tokens");
 		}
 		if (this.firstTokenAt == null) {
--- a/daemon/src/test/java/org/hemlockgw/daemon/dispatch/DispatcherServiceTests.java
+++ b/daemon/src/test/java/org/hemlockgw/daemon/dispatch/DispatcherServiceTests.java
@@ -106,6 +106,22 @@
 		assertThat(failure.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
+	// Guards against memory that grows with an engine that never stops.
+	@ParameterizedTest
+	@CsvSource({ "10, 10", "11, 10", "1000, 10" })
+	void tokensAboveTheRequestedOnesAreRejected(int sent, int expected) {
+		CompletableFuture<DispatchResult> unused = dispatch("a1", 10);
+		try {
+			this.engine.started.get(0).tokens(0, sent);
+			assertThat(sent).isEqualTo(expected);
+		}
+		catch (CallFailure ex) {
+			assertThat(sent).isGreaterThan(expected);
+			assertThat(ex.code()).isEqualTo(ErrorCode.BACKEND_UNAVAILABLE);
+		}
+		assertThat(this.received).hasSize(expected);
+	}
+
 	@Test
 	void queuedRequestsOfLeavingEngineAreHandedBackAsNotRun() {
 		List<CompletableFuture<DispatchResult>> results = new ArrayList<>();
