Don't quarantine content that was processed shortly before its servers crashed

Callers would see: a page that all of them read is refused for an hour if all servers that run it crash at once under another request, since none is left to process it in between.

Cause: only a server that processes the content after a crash discarded the reports.

Ruled out: digests for each response, which cost tens of microseconds with the compiler that the daemons use; a hash of the head and of both ends of the body is enough, because an equal hash only delays a quarantine.

Change: each daemon remembers up to 4,096 contents for two minutes. If a third crash is reported for one of them, the reports are discarded everywhere. Discarded reports that turn up in the store later are deleted there, one by one instead of by digest.

--- a/core/src/main/java/org/hemlockgw/core/retry/CrashHistory.java
+++ b/core/src/main/java/org/hemlockgw/core/retry/CrashHistory.java
@@ -108,12 +108,12 @@
 	 * Records that an engine has processed this content without crashing. Crashes counted
 	 * so far had another cause, so they are discarded.
 	 * @param digest digest of the content
-	 * @return whether crashes were counted for it
+	 * @return the reports that no longer count
 	 */
-	public synchronized boolean recordSuccess(String digest) {
+	public synchronized List<CrashReport> recordSuccess(String digest) {
 		CrashRecord record = this.crashesByDigest.remove(digest);
 		if (record == null) {
-			return false;
+			return List.of();
 		}
 		this.discardedReports.addAll(record.reports());
 		Iterator<CrashReport> oldest = this.discardedReports.iterator();
@@ -121,7 +121,16 @@
 			oldest.next();
 			oldest.remove();
 		}
-		return true;
+		return List.copyOf(record.reports());
+	}
+
+	/**
+	 * Returns whether a report no longer counts because its content was processed.
+	 * @param report the report
+	 * @return whether {@link #recordSuccess} has discarded it
+	 */
+	public synchronized boolean isDiscarded(CrashReport report) {
+		return this.discardedReports.contains(report);
 	}
 
 	private CrashRecord add(String digest, String engine, Instant now, int increment) {
--- a/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
+++ b/core/src/test/java/org/hemlockgw/core/retry/RetryTests.java
@@ -124,8 +124,9 @@
 		for (int i = 0; i < 3; i++) {
 			crashes.recordCrash(crashAt(i), now);
 		}
-		assertThat(crashes.recordSuccess("other")).isFalse();
-		assertThat(crashes.recordSuccess("d")).isTrue();
+		assertThat(crashes.recordSuccess("other")).isEmpty();
+		assertThat(crashes.recordSuccess("d")).containsExactly(crashAt(0), crashAt(1), crashAt(2));
+		assertThat(crashes.isDiscarded(crashAt(0))).isTrue();
 		assertThat(crashes.isQuarantined("d", now)).isFalse();
 		for (int i = 0; i < 3; i++) {
 			assertThat(crashes.recordCrash(crashAt(i), now)).isFalse();
--- a/gateway/src/main/java/org/hemlockgw/gateway/CrashLog.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/CrashLog.java
@@ -28,10 +28,10 @@
 	CompletableFuture<Void> append(List<CrashReport> reports);
 
 	/**
-	 * Deletes all reports about some contents.
-	 * @param digests digests of the contents
+	 * Deletes reports. Deleting a report that is not stored changes nothing.
+	 * @param reports the reports
 	 * @return completed once the deletion is durable
 	 */
-	CompletableFuture<Void> delete(Collection<String> digests);
+	CompletableFuture<Void> delete(List<CrashReport> reports);
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -130,8 +130,8 @@
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable, this.shutdown,
 				this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
-				serverConnections,
-				new CrashingRequests(loop, clock, this.membership, this.peerLinks, crashLog, serverConnections),
+				serverConnections, new CrashingRequests(loop, clock, System::nanoTime, this.membership, this.peerLinks,
+						crashLog, serverConnections),
 				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics);
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashReportWriter.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashReportWriter.java
@@ -4,10 +4,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
-import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -16,8 +16,9 @@
 import org.hemlockgw.gateway.telemetry.LogFields;
 
 /**
- * Writes crash reports to the log that does not have them yet. Reports wait in memory
- * while the log is unavailable. All methods must be called on the event loop.
+ * Writes crash reports to the log that does not have them yet, and deletes others.
+ * Reports wait in memory while the log is unavailable. All methods must be called on the
+ * event loop.
  */
 final class CrashReportWriter {
 
@@ -35,7 +36,7 @@
 
 	private final Set<CrashReport> waiting = new LinkedHashSet<>();
 
-	private final Set<String> waitingDeletions = new LinkedHashSet<>();
+	private final Set<CrashReport> waitingDeletions = new LinkedHashSet<>();
 
 	private Set<CrashReport> stored = Set.of();
 
@@ -79,22 +80,16 @@
 	}
 
 	/**
-	 * Drops the reports about a content that wait to be written.
-	 * @param digest digest of the content
-	 */
-	void cancel(String digest) {
-		this.waiting.removeIf((report) -> report.digest().equals(digest));
-	}
-
-	/**
-	 * Deletes the reports about a content from the log.
-	 * @param digest digest of the content
+	 * Deletes those of some reports that are stored or wait to be written.
+	 * @param reports the reports
+	 * @param delayMs time in milliseconds in which another daemon may delete them
 	 */
-	void delete(String digest) {
-		if (this.stored.stream().anyMatch((report) -> report.digest().equals(digest))
-				&& this.waitingDeletions.size() < MAX_WAITING_REPORTS) {
-			this.waitingDeletions.add(digest);
-			flush();
+	void delete(Collection<CrashReport> reports, long delayMs) {
+		this.waiting.removeAll(reports);
+		this.waitingDeletions.addAll(reports);
+		this.waitingDeletions.retainAll(this.stored);
+		if (!this.waitingDeletions.isEmpty()) {
+			flushLater(delayMs);
 		}
 	}
 
@@ -111,33 +106,27 @@
 
 	private void flush() {
 		this.waiting.removeAll(this.stored);
+		this.waitingDeletions.retainAll(this.stored);
 		if (this.writing || (this.waiting.isEmpty() && this.waitingDeletions.isEmpty())) {
 			return;
 		}
 		this.writing = true;
-		if (!this.waitingDeletions.isEmpty()) {
-			List<String> digests = List.copyOf(this.waitingDeletions);
-			this.log.delete(digests)
-				.whenComplete(
-						(done, error) -> handleWritten(error, () -> digests.forEach(this.waitingDeletions::remove)));
-			return;
-		}
-		List<CrashReport> batch = this.waiting.stream().limit(MAX_BATCH_SIZE).toList();
-		this.log.append(batch)
-			.whenComplete((done, error) -> handleWritten(error, () -> batch.forEach(this.waiting::remove)));
-	}
-
-	private void handleWritten(@Nullable Throwable error, Runnable onSuccess) {
-		this.writing = false;
-		if (error != null) {
-			logger.atWarn()
-				.addKeyValue(LogFields.REASON, error.getMessage())
-				.log("crash reports could not be stored; retrying");
-			flushLater(RETRY_DELAY_MS);
-			return;
-		}
-		onSuccess.run();
-		flush();
+		boolean deleting = !this.waitingDeletions.isEmpty();
+		Set<CrashReport> source = deleting ? this.waitingDeletions : this.waiting;
+		List<CrashReport> batch = source.stream().limit(MAX_BATCH_SIZE).toList();
+		CompletableFuture<Void> written = deleting ? this.log.delete(batch) : this.log.append(batch);
+		written.whenComplete((done, error) -> {
+			this.writing = false;
+			if (error != null) {
+				logger.atWarn()
+					.addKeyValue(LogFields.REASON, error.getMessage())
+					.log("crash reports could not be stored; retrying");
+				flushLater(RETRY_DELAY_MS);
+				return;
+			}
+			batch.forEach(source::remove);
+			flush();
+		});
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import io.netty.channel.EventLoop;
 import org.slf4j.Logger;
@@ -14,6 +15,7 @@
 
 import org.hemlockgw.core.retry.CrashHistory;
 import org.hemlockgw.core.retry.CrashReport;
+import org.hemlockgw.core.retry.RecentContents;
 import org.hemlockgw.gateway.CrashLog;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
@@ -25,8 +27,8 @@
 /**
  * Tracks requests during which backend servers crashed, as seen by any daemon. A lost
  * response alone is no crash: its server must be unreachable, and no server may have
- * processed the same content since. Crashes are stored from the second one of a content
- * on, since single ones are frequent and calls to the store are priced.
+ * processed the same content shortly before or since. Crashes are stored from the second
+ * one of a content on, since single ones are frequent and calls to the store are priced.
  */
 public final class CrashingRequests {
 
@@ -53,6 +55,8 @@
 
 	private final CrashHistory crashHistory = new CrashHistory(MAX_SERVER_LOSSES);
 
+	private final RecentContents recentContents;
+
 	private final EventLoop loop;
 
 	private final InstantSource clock;
@@ -69,10 +73,11 @@
 
 	private boolean loaded;
 
-	public CrashingRequests(EventLoop loop, InstantSource clock, Membership membership, PeerLinks peerLinks,
-			CrashLog crashLog, HttpConnections serverConnections) {
+	public CrashingRequests(EventLoop loop, InstantSource clock, LongSupplier nanoClock, Membership membership,
+			PeerLinks peerLinks, CrashLog crashLog, HttpConnections serverConnections) {
 		this.loop = loop;
 		this.clock = clock;
+		this.recentContents = new RecentContents(nanoClock);
 		this.membership = membership;
 		this.peerLinks = peerLinks;
 		this.crashLog = crashLog;
@@ -97,6 +102,7 @@
 		if (added > 0) {
 			logger.info("added {} stored reports of lost servers", added);
 		}
+		this.writer.delete(reports.stream().filter(this.crashHistory::isDiscarded).toList(), PEER_WRITE_DELAY_MS);
 	}
 
 	/**
@@ -120,45 +126,62 @@
 	void recordLostResponse(RequestContent content, ServerProcess server) {
 		CrashReport report = new CrashReport(content.digest(), server.server(), server.startedAtMs(),
 				this.clock.instant().truncatedTo(ChronoUnit.MILLIS));
+		long hash = content.hash();
 		this.loop.schedule(() -> this.serverConnections.probe(server.address(), (running) -> {
 			if (!running) {
-				recordCrash(report);
+				recordCrash(report, hash);
 			}
 		}), PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
 	}
 
-	private void recordCrash(CrashReport report) {
-		add(report, 0);
-		PeerMessage.ServerLost lost = new PeerMessage.ServerLost(report.digest(), report.engine(), report.startedAtMs(),
-				report.time().toEpochMilli());
-		sendToPeers(lost);
+	private void recordCrash(CrashReport report, long hash) {
+		add(report, hash, 0);
+		sendToPeers(new PeerMessage.ServerLost(report.digest(), hash, report.engine(), report.startedAtMs(),
+				report.time().toEpochMilli()));
 	}
 
 	/**
-	 * Records that a server has processed a request to the end.
-	 * @param content content that the server received
+	 * Records the loss of a server, reported by another daemon.
+	 * @param lost the report
 	 */
-	void recordProcessed(RequestContent content) {
-		if (this.crashHistory.isEmpty() || !discard(content.digest())) {
+	public void handle(PeerMessage.ServerLost lost) {
+		add(new CrashReport(lost.digest(), lost.server(), lost.startedAtMs(), Instant.ofEpochMilli(lost.timeMs())),
+				lost.hash(), PEER_WRITE_DELAY_MS);
+	}
+
+	private void add(CrashReport report, long hash, long writeDelayMs) {
+		logger.atInfo()
+			.addKeyValue(LogFields.DIGEST, report.digest())
+			.addKeyValue(LogFields.SERVER, report.engine())
+			.log("server was lost while it ran a request");
+		if (!this.crashHistory.recordCrash(report, this.clock.instant())) {
+			return;
+		}
+		List<CrashReport> reports = this.crashHistory.reports(report.digest());
+		if (reports.size() >= MAX_SERVER_LOSSES && this.recentContents.contains(hash)) {
+			discardEverywhere(report.digest());
 			return;
 		}
-		this.writer.delete(content.digest());
-		sendToPeers(new PeerMessage.ContentProcessed(content.digest()));
+		if (reports.size() >= MIN_STORED_LOSSES) {
+			this.writer.write(reports, writeDelayMs);
+		}
 	}
 
-	private boolean discard(String digest) {
-		boolean discarded = this.crashHistory.recordSuccess(digest);
-		if (discarded) {
-			this.writer.cancel(digest);
-			logger.atInfo()
-				.addKeyValue(LogFields.DIGEST, digest)
-				.log("a server has processed this content; its reports of lost servers are discarded");
+	/**
+	 * Records that a server has processed a request to the end.
+	 * @param content content that the server received
+	 */
+	void recordProcessed(RequestContent content) {
+		this.recentContents.add(content.hash());
+		if (!this.crashHistory.isEmpty()) {
+			discardEverywhere(content.digest());
 		}
-		return discarded;
 	}
 
-	private void sendToPeers(PeerMessage message) {
-		this.membership.peerAddresses().forEach((peer) -> this.peerLinks.sendOneWay(peer, message));
+	private void discardEverywhere(String digest) {
+		if (discard(digest, 0)) {
+			sendToPeers(new PeerMessage.ContentProcessed(digest));
+		}
 	}
 
 	/**
@@ -166,30 +189,23 @@
 	 * @param processed the notification
 	 */
 	public void handle(PeerMessage.ContentProcessed processed) {
-		discard(processed.digest());
+		discard(processed.digest(), PEER_WRITE_DELAY_MS);
 	}
 
-	/**
-	 * Records the loss of a server, reported by another daemon.
-	 * @param lost the report
-	 */
-	public void handle(PeerMessage.ServerLost lost) {
-		add(new CrashReport(lost.digest(), lost.server(), lost.startedAtMs(), Instant.ofEpochMilli(lost.timeMs())),
-				PEER_WRITE_DELAY_MS);
+	private boolean discard(String digest, long deleteDelayMs) {
+		List<CrashReport> discarded = this.crashHistory.recordSuccess(digest);
+		if (discarded.isEmpty()) {
+			return false;
+		}
+		this.writer.delete(discarded, deleteDelayMs);
+		logger.atInfo()
+			.addKeyValue(LogFields.DIGEST, digest)
+			.log("a server has processed this content; its reports of lost servers are discarded");
+		return true;
 	}
 
-	private void add(CrashReport report, long writeDelayMs) {
-		logger.atInfo()
-			.addKeyValue(LogFields.DIGEST, report.digest())
-			.addKeyValue(LogFields.SERVER, report.engine())
-			.log("server was lost while it ran a request");
-		if (!this.crashHistory.recordCrash(report, this.clock.instant())) {
-			return;
-		}
-		List<CrashReport> reports = this.crashHistory.reports(report.digest());
-		if (reports.size() >= MIN_STORED_LOSSES) {
-			this.writer.write(reports, writeDelayMs);
-		}
+	private void sendToPeers(PeerMessage message) {
+		this.membership.peerAddresses().forEach((peer) -> this.peerLinks.sendOneWay(peer, message));
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
@@ -21,6 +21,9 @@
 
 	private static final int DIGEST_BYTES = 16;
 
+	/** Number of bytes at each end of a body that the hash covers. */
+	private static final int HASHED_BYTES = 1024;
+
 	private final FullHttpRequest request;
 
 	private final byte[] bodyPrefix;
@@ -60,11 +63,32 @@
 		return result;
 	}
 
-	private String computeDigest() {
+	/**
+	 * Returns a hash that is cheap also for large bodies, of which it covers the ends.
+	 * @return the hash
+	 */
+	long hash() {
+		int head = head().hashCode();
+		int body = 31 * hashEnds(Unpooled.wrappedBuffer(this.bodyPrefix)) + hashEnds(this.request.content());
+		return ((long) head << Integer.SIZE) | Integer.toUnsignedLong(body);
+	}
+
+	private static int hashEnds(ByteBuf data) {
+		int length = Math.min(data.readableBytes(), HASHED_BYTES);
+		int first = data.slice(data.readerIndex(), length).hashCode();
+		int last = data.slice(data.writerIndex() - length, length).hashCode();
+		return 31 * (31 * data.readableBytes() + first) + last;
+	}
+
+	private String head() {
 		String host = this.request.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
+		return this.request.method() + " " + host + this.request.uri();
+	}
+
+	private String computeDigest() {
 		try {
 			MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
-			sha256.update((this.request.method() + " " + host + this.request.uri()).getBytes(StandardCharsets.UTF_8));
+			sha256.update(head().getBytes(StandardCharsets.UTF_8));
 			sha256.update((byte) 0);
 			sha256.update(this.bodyPrefix);
 			sha256.update(ByteBufUtil.getBytes(this.request.content()));
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -93,11 +93,12 @@
 		}, (in) -> new PeerMessage.HoldSlot(in.unpackString(), FieldCodec.readSlotRequest(in), in.unpackString()));
 		add(13, PeerMessage.ServerLost.class,
 				(out, lost) -> out.packString(lost.digest())
+					.packLong(lost.hash())
 					.packString(lost.server())
 					.packLong(lost.startedAtMs())
 					.packLong(lost.timeMs()),
-				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackString(), in.unpackLong(),
-						in.unpackLong()));
+				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackLong(), in.unpackString(),
+						in.unpackLong(), in.unpackLong()));
 		add(31, PeerMessage.ServerLeaving.class,
 				(out, leaving) -> out.packString(leaving.server()).packLong(leaving.startedAtMs()),
 				(in) -> new PeerMessage.ServerLeaving(in.unpackString(), in.unpackLong()));
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -288,13 +288,14 @@
 	 * answered.
 	 *
 	 * @param digest digest of the request's content
+	 * @param hash hash of the content, by which daemons remember what was processed
 	 * @param server the server
 	 * @param startedAtMs start of the server's process in milliseconds since the epoch; 0
 	 * if unknown
 	 * @param timeMs time of the loss by the sender's clock in milliseconds since the
 	 * epoch
 	 */
-	record ServerLost(String digest, String server, long startedAtMs, long timeMs) implements PeerMessage {
+	record ServerLost(String digest, long hash, String server, long startedAtMs, long timeMs) implements PeerMessage {
 	}
 
 	/**
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -45,7 +45,7 @@
 				new PeerMessage.SlotAnswered(SlotDecision.refused(250, "full")), new PeerMessage.SlotAnswered(null),
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
 				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
-				new PeerMessage.ServerLost("abc", "s1", 1_796_463_000_000L, 1_796_463_045_915L),
+				new PeerMessage.ServerLost("abc", -5, "s1", 1_796_463_000_000L, 1_796_463_045_915L),
 				new PeerMessage.ContentProcessed("abc"), new PeerMessage.ServerLeaving("s1", 1_796_463_000_000L),
 				new PeerMessage.ShardFenced(3, 8), new PeerMessage.RelayHolders(),
 				new PeerMessage.RelayAppend(3, 8, 2, List.of()), new PeerMessage.AppendRelayed(null),
