--- a/core/src/main/java/org/hemlockgw/core/retry/RecentContents.java
+++ b/core/src/main/java/org/hemlockgw/core/retry/RecentContents.java
@@ -13,7 +13,7 @@
 	/** Time for which a content is remembered after it was processed. */
 	static final long MAX_AGE_S = 120;
 
-	static final int MAX_CONTENTS = 4096;
+	static final int MAX_CONTENTS = 1024;
 
 	private final LongSupplier nanoClock;
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
@@ -30,6 +30,14 @@
 
 	private @Nullable String digest;
 
+	/**
+	 * Creates content without a prefix.
+	 * @param request the caller's request
+	 */
+	RequestContent(FullHttpRequest request) {
+		this(request, new byte[0]);
+	}
+
 	/**
 	 * Creates the content.
 	 * @param request the caller's request
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -40,8 +40,6 @@
 	/** Number of failed connections after which a request is refused. */
 	private static final int MAX_CONNECT_FAILURES = 3;
 
-	private static final byte[] NO_PREFIX = {};
-
 	private final Services services;
 
 	private final CallerConnection caller;
@@ -103,7 +101,7 @@
 		this.deadline = deadline;
 		this.log = log;
 		this.listener = listener;
-		this.content = new RequestContent(request, NO_PREFIX);
+		this.content = new RequestContent(request);
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -99,11 +99,11 @@
 					.packLong(lost.timeMs()),
 				(in) -> new PeerMessage.ServerLost(in.unpackString(), in.unpackLong(), in.unpackString(),
 						in.unpackLong(), in.unpackLong()));
+		add(30, PeerMessage.ContentProcessed.class, (out, processed) -> out.packString(processed.digest()),
+				(in) -> new PeerMessage.ContentProcessed(in.unpackString()));
 		add(31, PeerMessage.ServerLeaving.class,
 				(out, leaving) -> out.packString(leaving.server()).packLong(leaving.startedAtMs()),
 				(in) -> new PeerMessage.ServerLeaving(in.unpackString(), in.unpackLong()));
-		add(30, PeerMessage.ContentProcessed.class, (out, processed) -> out.packString(processed.digest()),
-				(in) -> new PeerMessage.ContentProcessed(in.unpackString()));
 		add(14, PeerMessage.SlotQueued.class, (out, queued) -> {
 		}, (in) -> new PeerMessage.SlotQueued());
 	}
