--- a/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
@@ -8,6 +8,9 @@
  *
  * @param id identifier of the caller's attempt
  * @param holder daemon that will use the slot
+ * @param account name of the client account; empty for none
+ * @param session identifier of the session whose requests share a prompt prefix or state;
+ * empty for none
  * @param priority priority of the request; 0 is the highest
  * @param programStarted whether the program has already run a turn
  * @param programRemainingMs time in milliseconds until the whole program is late;
@@ -15,9 +18,11 @@
  * @param objectiveMs latency objective of the request in milliseconds
  * @param remainingMs time until the caller's deadline in milliseconds
  * @param prompt parts of the prompt in order; empty for a plain service
+ * @param maxTokens maximum number of tokens that the response contains; 0 if unknown
  * @param excluded servers that have already failed this request
  * @param connected servers to which the daemon has an idle connection
  */
-public record SlotRequest(String id, String holder, int priority, boolean programStarted, long programRemainingMs,
-		long objectiveMs, long remainingMs, List<PromptPart> prompt, Set<String> excluded, Set<String> connected) {
+public record SlotRequest(String id, String holder, String account, String session, int priority,
+		boolean programStarted, long programRemainingMs, long objectiveMs, long remainingMs, List<PromptPart> prompt,
+		int maxTokens, Set<String> excluded, Set<String> connected) {
 }
--- a/core/src/main/java/org/hemlockgw/core/route/Route.java
+++ b/core/src/main/java/org/hemlockgw/core/route/Route.java
@@ -19,10 +19,12 @@
  * @param maxAttempts maximum number of backend servers to which one request is sent
  * @param retention how long the budgets of programs, and turns if they are stored, are
  * retained; null if the requests are not turns of programs
+ * @param publicAccess whether requests need no key of a client account
  * @param historyStored whether turns are stored, so that later turns can continue them
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, Duration timeout, Duration objective,
-		int priority, List<PoolShare> shares, int maxAttempts, @Nullable Duration retention, boolean historyStored) {
+		int priority, List<PoolShare> shares, int maxAttempts, @Nullable Duration retention, boolean publicAccess,
+		boolean historyStored) {
 
 	/**
 	 * Selects the pool for a request in proportion to the weights.
--- a/core/src/test/java/org/hemlockgw/core/pool/OverloadTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/OverloadTests.java
@@ -151,8 +151,8 @@
 			this.sentMs = OverloadTests.this.nowMs;
 			long remainingMs = this.begunMs + aimMs() - this.sentMs;
 			String id = this.name + "-" + this.turn + "-" + this.attempt;
-			SlotRequest request = new SlotRequest(id, "d1", 0, this.turn > 0, remainingMs, OBJECTIVE_MS, DEADLINE_MS,
-					List.of(new PromptPart(this.name, 300)), Set.of(), Set.of());
+			SlotRequest request = new SlotRequest(id, "d1", "", "", 0, this.turn > 0, remainingMs, OBJECTIVE_MS,
+					DEADLINE_MS, List.of(new PromptPart(this.name, 300)), 0, Set.of(), Set.of());
 			OverloadTests.this.scheduler.submit(request, (decision) -> {
 				if (decision.serverId() != null) {
 					schedule(OverloadTests.this.nowMs + TURN_MS, () -> complete(id));
--- a/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/PoolSchedulerTests.java
@@ -163,9 +163,8 @@
 		for (int i = 0; i < busySlots; i++) {
 			this.scheduler.restoreGrant(request("b" + i, 0, true, List.of(), Set.of()), "s2");
 		}
-		this.scheduler.submit(
-				new SlotRequest("a", "daemon", 0, true, Long.MAX_VALUE, 250, 3000, List.of(), Set.of(), Set.of("s2")),
-				(answer) -> this.answers.put("a", answer));
+		this.scheduler.submit(new SlotRequest("a", "daemon", "", "", 0, true, Long.MAX_VALUE, 250, 3000, List.of(), 0,
+				Set.of(), Set.of("s2")), (answer) -> this.answers.put("a", answer));
 		assertThat(server("a")).isEqualTo(expected);
 	}
 
@@ -215,7 +214,8 @@
 	}
 
 	private void submitWithProgramTime(String id, long programRemainingMs) {
-		submit(new SlotRequest(id, "daemon", 0, true, programRemainingMs, 250, 3000, List.of(), Set.of(), Set.of()));
+		submit(new SlotRequest(id, "daemon", "", "", 0, true, programRemainingMs, 250, 3000, List.of(), 0, Set.of(),
+				Set.of()));
 	}
 
 	private void submit(String id, int priority, boolean running) {
@@ -239,7 +239,8 @@
 
 	private static SlotRequest request(String id, int priority, boolean running, List<PromptPart> prompt,
 			Set<String> excluded) {
-		return new SlotRequest(id, "daemon", priority, running, Long.MAX_VALUE, 250, 3000, prompt, excluded, Set.of());
+		return new SlotRequest(id, "daemon", "", "", priority, running, Long.MAX_VALUE, 250, 3000, prompt, 0, excluded,
+				Set.of());
 	}
 
 	private static PoolMember member(String id, int slots, boolean draining) {
--- a/core/src/test/java/org/hemlockgw/core/route/RoutingTableTests.java
+++ b/core/src/test/java/org/hemlockgw/core/route/RoutingTableTests.java
@@ -35,7 +35,7 @@
 	@Test
 	void selectsPoolsByWeight() {
 		Route route = new Route("r", "h", "/", RequestKind.ONCE, Duration.ofSeconds(1), Duration.ofSeconds(1), 0,
-				List.of(new PoolShare("a", 90), new PoolShare("b", 10)), 1, null, false);
+				List.of(new PoolShare("a", 90), new PoolShare("b", 10)), 1, null, false, false);
 		Map<String, Integer> counts = new HashMap<>();
 		for (int hash = 0; hash < 1000; hash++) {
 			counts.merge(route.selectPool(hash * 31 - 500), 1, Integer::sum);
@@ -46,7 +46,7 @@
 
 	private static Route route(String name, String host, String prefix) {
 		return new Route(name, host, prefix, RequestKind.REPEATABLE, Duration.ofSeconds(1), Duration.ofSeconds(1), 0,
-				List.of(new PoolShare("p", 1)), 1, null, false);
+				List.of(new PoolShare("p", 1)), 1, null, false, false);
 	}
 
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/GatewaySettings.java
@@ -3,6 +3,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 
+import org.jspecify.annotations.Nullable;
+
+import org.hemlockgw.core.account.UsageCapBounds;
+
 /**
  * Settings of a gateway daemon.
  *
@@ -13,8 +17,14 @@
  * @param peerAddress listen address for other daemons
  * @param metricsAddress listen address for metrics
  * @param shutdownGrace time between the stop signal and the end of the process
+ * @param revocationLimit time after the acknowledgement of a configuration within which
+ * keys that it lacks must stop working at every daemon; null if there is no limit
+ * @param capBounds accuracy with which usage caps are enforced
+ * @param memoryBytes memory that the process may use, in bytes
+ * @param maxDescriptors number of descriptors that the process may open
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, InetSocketAddress metricsAddress,
-		Duration shutdownGrace) {
+		Duration shutdownGrace, @Nullable Duration revocationLimit, UsageCapBounds capBounds, long memoryBytes,
+		int maxDescriptors) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
@@ -14,6 +14,8 @@
  * @param path path without query
  * @param deadlineMs time in milliseconds that the caller waits for a response; 0 if not
  * given
+ * @param credentials credentials of the caller's client account; null if not given
+ * @param session identifier of the session that the request belongs to; empty for none
  * @param program identifier of the program that the request belongs to; null for none
  * @param programDeadlineMs time in milliseconds until the whole program is late;
  * {@link Long#MAX_VALUE} if not given
@@ -24,9 +26,9 @@
  * of a chain
  * @param prompt parts of the prompt in order
  */
-public record CallerRequest(String id, String host, String path, long deadlineMs, @Nullable String program,
-		long programDeadlineMs, long tokenBudget, int maxTokens, @Nullable String previousTurn,
-		List<PromptPart> prompt) {
+public record CallerRequest(String id, String host, String path, long deadlineMs, @Nullable String credentials,
+		String session, @Nullable String program, long programDeadlineMs, long tokenBudget, int maxTokens,
+		@Nullable String previousTurn, List<PromptPart> prompt) {
 
 	long programRemainingMs(Deadline deadline) {
 		return (this.programDeadlineMs == Long.MAX_VALUE) ? this.programDeadlineMs
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -124,10 +124,11 @@
 		if (refuseIfQuarantined()) {
 			return;
 		}
-		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(),
-				this.route.priority(), this.programStarted, this.callerRequest.programRemainingMs(this.deadline),
-				this.route.objective().toMillis(), remainingMs, this.callerRequest.prompt(),
-				Set.copyOf(this.excludedServers), connectedServers());
+		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(), "",
+				this.callerRequest.session(), this.route.priority(), this.programStarted,
+				this.callerRequest.programRemainingMs(this.deadline), this.route.objective().toMillis(), remainingMs,
+				this.callerRequest.prompt(), this.callerRequest.maxTokens(), Set.copyOf(this.excludedServers),
+				connectedServers());
 		this.log.slotRequested();
 		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
@@ -65,13 +65,15 @@
 	}
 
 	static void writeSlotRequest(MessagePacker out, SlotRequest request) throws IOException {
-		out.packString(request.id()).packString(request.holder()).packInt(request.priority());
+		out.packString(request.id()).packString(request.holder());
+		out.packString(request.account()).packString(request.session()).packInt(request.priority());
 		out.packBoolean(request.programStarted()).packLong(request.programRemainingMs());
 		out.packLong(request.objectiveMs()).packLong(request.remainingMs());
 		out.packArrayHeader(request.prompt().size());
 		for (PromptPart part : request.prompt()) {
 			out.packString(part.id()).packInt(part.tokens());
 		}
+		out.packInt(request.maxTokens());
 		writeStrings(out, request.excluded());
 		writeStrings(out, request.connected());
 	}
@@ -94,6 +96,8 @@
 	static SlotRequest readSlotRequest(MessageUnpacker in) throws IOException {
 		String id = in.unpackString();
 		String holder = in.unpackString();
+		String account = in.unpackString();
+		String session = in.unpackString();
 		int priority = in.unpackInt();
 		boolean programStarted = in.unpackBoolean();
 		long programRemainingMs = in.unpackLong();
@@ -103,8 +107,8 @@
 		for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
 			prompt.add(new PromptPart(in.unpackString(), in.unpackInt()));
 		}
-		return new SlotRequest(id, holder, priority, programStarted, programRemainingMs, objectiveMs, remainingMs,
-				prompt, readStrings(in), readStrings(in));
+		return new SlotRequest(id, holder, account, session, priority, programStarted, programRemainingMs, objectiveMs,
+				remainingMs, prompt, in.unpackInt(), readStrings(in), readStrings(in));
 	}
 
 	static void writeSlotAnswer(MessagePacker out, @Nullable SlotDecision answer) throws IOException {
