Check keys of client accounts and pass the account to the scheduler

Exchange decides on the account of a request with AccountAccess; AdmittedRequest passes name and priority to the scheduler, X-Tenant to servers, and identifiers that are qualified with the account to owner and scheduler. Servers never receive Authorization while accounts are enabled, nor a caller's X-Tenant. ConfigurationProof and SuspendAwareClock are not connected to the store yet.

--- a/core/src/main/java/org/hemlockgw/core/route/RoutingTable.java
+++ b/core/src/main/java/org/hemlockgw/core/route/RoutingTable.java
@@ -9,6 +9,8 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.core.account.AccountDirectory;
+
 /**
  * Immutable routing table of one configuration version. The route with the longest
  * matching path prefix wins.
@@ -23,17 +25,33 @@
 
 	private final CallerLimits limits;
 
+	private final @Nullable AccountDirectory accounts;
+
 	/**
-	 * Creates a routing table.
+	 * Creates a routing table without client accounts.
 	 * @param version configuration version
 	 * @param routes all routes
 	 * @param pools pools by name
 	 * @param limits limits for callers
 	 */
 	public RoutingTable(long version, List<Route> routes, Map<String, Pool> pools, CallerLimits limits) {
+		this(version, routes, pools, limits, null);
+	}
+
+	/**
+	 * Creates a routing table.
+	 * @param version configuration version
+	 * @param routes all routes
+	 * @param pools pools by name
+	 * @param limits limits for callers
+	 * @param accounts client accounts; null if no keys are checked
+	 */
+	public RoutingTable(long version, List<Route> routes, Map<String, Pool> pools, CallerLimits limits,
+			@Nullable AccountDirectory accounts) {
 		this.version = version;
 		this.pools = Map.copyOf(pools);
 		this.limits = limits;
+		this.accounts = accounts;
 		routes.forEach((route) -> this.routesByHost
 			.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), (host) -> new ArrayList<>())
 			.add(route));
@@ -71,4 +89,12 @@
 		return this.limits;
 	}
 
+	/**
+	 * Returns the client accounts.
+	 * @return the accounts, or null if accounts are disabled
+	 */
+	public @Nullable AccountDirectory accounts() {
+		return this.accounts;
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.core.account.ConfigurationProof;
 import org.hemlockgw.core.route.CallerLimits;
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.core.store.StateStore;
@@ -130,9 +131,11 @@
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable, this.shutdown,
 				this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
-				serverConnections, new CrashingRequests(loop, clock, System::nanoTime, this.membership, this.peerLinks,
-						crashLog, serverConnections),
-				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics);
+				serverConnections,
+				new CrashingRequests(loop, clock, System::nanoTime, this.membership, this.peerLinks, crashLog,
+						serverConnections),
+				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics,
+				new ConfigurationProof(null, System::nanoTime, clock));
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerRequest.java
@@ -35,4 +35,13 @@
 				: this.programDeadlineMs - deadline.elapsedMs();
 	}
 
+	/**
+	 * Returns a description without the credentials, so that no log line contains a key.
+	 */
+	@Override
+	public String toString() {
+		return "CallerRequest[id=" + this.id + ", host=" + this.host + ", path=" + this.path + ", program="
+				+ this.program + "]";
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.gateway.entry;
 
-import java.time.Duration;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -10,11 +11,13 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.core.account.AccountAccess;
+import org.hemlockgw.core.account.AccountScope;
 import org.hemlockgw.core.route.Pool;
-import org.hemlockgw.core.route.RequestKind;
 import org.hemlockgw.core.route.Route;
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.gateway.peer.PeerMessage;
+import org.hemlockgw.gateway.telemetry.Metrics;
 
 /**
  * Handles one caller's request from its arrival to its response.
@@ -42,6 +45,18 @@
 	 */
 	private static final int MAX_IDENTIFIER_LENGTH = 120;
 
+	/**
+	 * Maximum length in bytes of an identifier with its account; the store's keys have
+	 * one byte in addition.
+	 */
+	private static final int MAX_QUALIFIED_BYTES = 254;
+
+	/**
+	 * Retry-After in milliseconds while the newest proof of the configuration is too old.
+	 * Another daemon is asked for one about three times a second.
+	 */
+	private static final long PROOF_RETRY_AFTER_MS = 300;
+
 	private static final byte[] NO_PROMPT = {};
 
 	private final Services services;
@@ -99,10 +114,16 @@
 			refuse(400, 0, "request identifier is missing");
 			return;
 		}
-		if (hasLongIdentifier()) {
+		AccountAccess.Decision access = AccountAccess.decide(routes.accounts(), route.publicAccess(),
+				this.services.proof().isValid(), this.callerRequest.credentials());
+		if (hasLongIdentifier(access.scope())) {
 			refuse(400, 0, "an identifier is longer than " + MAX_IDENTIFIER_LENGTH + " characters");
 			return;
 		}
+		if (access.outcome() != AccountAccess.Outcome.ACCEPTED) {
+			refuseAccess(access.outcome());
+			return;
+		}
 		this.pool = route.selectPool(this.callerRequest.id().hashCode());
 		this.deadline = this.deadline.withLimit(Math.min(this.deadline.limitMs(), route.timeout().toMillis()));
 		this.log.routed(route.name(), routes.version(), this.pool, this.deadline);
@@ -110,10 +131,12 @@
 			endForShutdown();
 			return;
 		}
-		PeerMessage.OpenTurn openTurn = createOpenTurn(route);
+		AdmittedRequest admitted = new AdmittedRequest(this.request, this.callerRequest, route, access.scope(),
+				this.pool);
+		PeerMessage.OpenTurn openTurn = admitted.toOpenTurn(this.deadline.remainingMs());
 		this.historyStored = route.historyStored();
-		ServerAttempts servers = new ServerAttempts(this.services, this.caller, this.request, this.callerRequest, route,
-				this.pool, this.deadline, this.log, new AttemptEvents());
+		ServerAttempts servers = new ServerAttempts(this.services, this.caller, admitted, this.deadline, this.log,
+				new AttemptEvents());
 		this.serverAttempts = servers;
 		this.timeoutTimer = this.services.loop()
 			.schedule(() -> handleTimeout(servers), this.deadline.remainingMs(), TimeUnit.MILLISECONDS);
@@ -127,22 +150,24 @@
 		session.open();
 	}
 
-	private boolean hasLongIdentifier() {
+	private boolean hasLongIdentifier(AccountScope scope) {
 		String program = this.callerRequest.program();
-		return this.callerRequest.id().length() > MAX_IDENTIFIER_LENGTH
-				|| (program != null && program.length() > MAX_IDENTIFIER_LENGTH);
+		return isLong(scope, this.callerRequest.id()) || (program != null && isLong(scope, program));
 	}
 
-	private PeerMessage.@Nullable OpenTurn createOpenTurn(Route route) {
-		Duration retention = route.retention();
-		String program = this.callerRequest.program();
-		if (route.kind() != RequestKind.STREAMING || retention == null || program == null) {
-			return null;
+	private static boolean isLong(AccountScope scope, String identifier) {
+		return identifier.length() > MAX_IDENTIFIER_LENGTH
+				|| scope.qualify(identifier).getBytes(StandardCharsets.UTF_8).length > MAX_QUALIFIED_BYTES;
+	}
+
+	private void refuseAccess(AccountAccess.Outcome outcome) {
+		this.services.metrics()
+			.increment(Metrics.withLabel("access_refused", "reason", outcome.name().toLowerCase(Locale.ROOT)));
+		switch (outcome) {
+			case PROOF_TOO_OLD -> refuse(503, PROOF_RETRY_AFTER_MS, "configuration may be out of date");
+			case KEY_MISSING -> refuse(401, 0, "API key is missing");
+			default -> refuse(401, 0, "API key is unknown");
 		}
-		long budget = (this.callerRequest.tokenBudget() < 0) ? Long.MAX_VALUE / 2 : this.callerRequest.tokenBudget();
-		String parent = route.historyStored() ? this.callerRequest.previousTurn() : null;
-		return new PeerMessage.OpenTurn(this.callerRequest.id(), program, parent, budget,
-				this.callerRequest.maxTokens(), retention.toMillis(), Math.max(0, this.deadline.remainingMs()));
 	}
 
 	private void forward(ResponseRelay relay) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.core.account.AccountScope;
+
 /**
  * Content of a request as a backend server receives it, without the identifiers that
  * differ each time the request is sent.
@@ -28,24 +30,20 @@
 
 	private final byte[] bodyPrefix;
 
-	private @Nullable String digest;
+	private final AccountScope scope;
 
-	/**
-	 * Creates content without a prefix.
-	 * @param request the caller's request
-	 */
-	RequestContent(FullHttpRequest request) {
-		this(request, new byte[0]);
-	}
+	private @Nullable String digest;
 
 	/**
 	 * Creates the content.
 	 * @param request the caller's request
 	 * @param bodyPrefix data that servers receive before the body of the request
+	 * @param scope client account, whose content never blocks that of another account
 	 */
-	RequestContent(FullHttpRequest request, byte[] bodyPrefix) {
+	RequestContent(FullHttpRequest request, byte[] bodyPrefix, AccountScope scope) {
 		this.request = request;
 		this.bodyPrefix = bodyPrefix;
+		this.scope = scope;
 	}
 
 	/**
@@ -58,8 +56,8 @@
 	}
 
 	/**
-	 * Returns a digest of method, host, path, query and body. Must not be called first
-	 * after the request was released.
+	 * Returns a digest of method, host, path, query, body and, if accounts are enabled,
+	 * the account. Must not be called first after the request was released.
 	 * @return hex digits
 	 */
 	String digest() {
@@ -90,7 +88,7 @@
 
 	private String head() {
 		String host = this.request.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
-		return this.request.method() + " " + host + this.request.uri();
+		return this.scope.qualify(this.request.method() + " " + host + this.request.uri());
 	}
 
 	private String computeDigest() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
@@ -12,7 +11,6 @@
 import org.hemlockgw.core.pool.SlotDecision;
 import org.hemlockgw.core.pool.SlotRequest;
 import org.hemlockgw.core.route.RequestKind;
-import org.hemlockgw.core.route.Route;
 import org.hemlockgw.gateway.net.HttpCall;
 import org.hemlockgw.gateway.net.HttpResponseListener;
 import org.hemlockgw.gateway.slots.ServerProcess;
@@ -40,17 +38,13 @@
 	/** Number of failed connections after which a request is refused. */
 	private static final int MAX_CONNECT_FAILURES = 3;
 
+	private static final byte[] NO_PREFIX = {};
+
 	private final Services services;
 
 	private final CallerConnection caller;
 
-	private final FullHttpRequest request;
-
-	private final CallerRequest callerRequest;
-
-	private final Route route;
-
-	private final String pool;
+	private final AdmittedRequest request;
 
 	private final Deadline deadline;
 
@@ -83,25 +77,19 @@
 	 * @param services used to reach servers
 	 * @param caller connection to the caller
 	 * @param request the request
-	 * @param callerRequest parsed headers of the request
-	 * @param route route of the request
-	 * @param pool name of the pool
 	 * @param deadline deadline of the request
 	 * @param log log of the request
 	 * @param listener receives responses and failures until {@link #cancel()}
 	 */
-	ServerAttempts(Services services, CallerConnection caller, FullHttpRequest request, CallerRequest callerRequest,
-			Route route, String pool, Deadline deadline, RequestLog log, ServerAttemptListener listener) {
+	ServerAttempts(Services services, CallerConnection caller, AdmittedRequest request, Deadline deadline,
+			RequestLog log, ServerAttemptListener listener) {
 		this.services = services;
 		this.caller = caller;
 		this.request = request;
-		this.callerRequest = callerRequest;
-		this.route = route;
-		this.pool = pool;
 		this.deadline = deadline;
 		this.log = log;
 		this.listener = listener;
-		this.content = new RequestContent(request);
+		this.content = request.content(NO_PREFIX);
 	}
 
 	/**
@@ -110,7 +98,7 @@
 	 * @param programStarted whether the program of the request has opened a turn before
 	 */
 	void start(byte[] prefix, boolean programStarted) {
-		this.content = new RequestContent(this.request, prefix);
+		this.content = this.request.content(prefix);
 		this.programStarted = programStarted;
 		acquire();
 	}
@@ -124,13 +112,10 @@
 		if (refuseIfQuarantined()) {
 			return;
 		}
-		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(), "",
-				this.callerRequest.session(), this.route.priority(), this.programStarted,
-				this.callerRequest.programRemainingMs(this.deadline), this.route.objective().toMillis(), remainingMs,
-				this.callerRequest.prompt(), this.callerRequest.maxTokens(), Set.copyOf(this.excludedServers),
-				connectedServers());
+		SlotRequest slotRequest = this.request.toSlotRequest(this.services.membership().self().text(),
+				this.programStarted, this.deadline, this.excludedServers, connectedServers());
 		this.log.slotRequested();
-		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
+		this.slot = this.services.slotClient().acquire(this.request.pool(), slotRequest, this::handleSlotAnswer);
 	}
 
 	private boolean refuseIfQuarantined() {
@@ -143,7 +128,7 @@
 
 	private Set<String> connectedServers() {
 		return this.services.slotClient()
-			.findServers(this.pool, (server) -> this.services.serverConnections().hasIdle(server.address()));
+			.findServers(this.request.pool(), (server) -> this.services.serverConnections().hasIdle(server.address()));
 	}
 
 	private void handleSlotAnswer(SlotDecision outcome) {
@@ -189,11 +174,10 @@
 		this.sendCount++;
 		this.log.sent(server.server(), this.sendCount);
 		ByteBuf body = this.content.retainedBody();
-		HttpRequest requestHead = this.services.wireFormat()
-			.toServerRequest(this.request, server.server(), Math.max(1, this.deadline.remainingMs()),
-					body.readableBytes());
+		HttpRequest requestHead = this.request.toServerRequest(this.services.wireFormat(), server.server(),
+				this.deadline, body);
 		ResponseRelay relay = new ResponseRelay(this.services.wireFormat(), this.caller,
-				this.route.kind() == RequestKind.STREAMING, this.services.responseMemory());
+				this.request.route().kind() == RequestKind.STREAMING, this.services.responseMemory());
 		this.response = relay;
 		this.currentCall = this.services.serverConnections()
 			.send(server.address(), requestHead, body, new HttpResponseListener() {
@@ -226,7 +210,7 @@
 
 	private boolean acceptResponse(ServerProcess server, ResponseRelay relay, HttpResponse head, boolean reused) {
 		BackendResponse parsed = this.services.wireFormat().decode(head);
-		if (parsed.requestId() != null && !parsed.requestId().equals(this.callerRequest.id())) {
+		if (parsed.requestId() != null && !parsed.requestId().equals(this.request.id())) {
 			this.log.mismatchedResponse(parsed.requestId());
 			return false;
 		}
@@ -276,7 +260,7 @@
 		boolean serverError = parsed.status() >= 500;
 		releaseSlot(parsed.isSuccess() ? Math.max(1, relay.eventCount()) : 0, serverError);
 		this.mayHaveRun = true;
-		if (serverError && this.route.kind().isRepeatable() && tryAnotherServer(server)) {
+		if (serverError && this.request.route().kind().isRepeatable() && tryAnotherServer(server)) {
 			return;
 		}
 		this.listener.answered(relay, parsed.status());
@@ -292,7 +276,8 @@
 
 	private boolean tryAnotherServer(ServerProcess server) {
 		this.excludedServers.add(server.server());
-		if (this.sendCount >= Math.max(1, this.route.maxAttempts()) || this.deadline.remainingMs() < MIN_REMAINING_MS) {
+		if (this.sendCount >= Math.max(1, this.request.route().maxAttempts())
+				|| this.deadline.remainingMs() < MIN_REMAINING_MS) {
 			return false;
 		}
 		discardResponse();
@@ -331,7 +316,7 @@
 			this.listener.aborted(cause);
 			return;
 		}
-		if (!this.route.kind().isRepeatable() || !tryAnotherServer(server)) {
+		if (!this.request.route().kind().isRepeatable() || !tryAnotherServer(server)) {
 			this.listener.refused(502, 0, "server failed");
 		}
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.core.account.ConfigurationProof;
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
@@ -30,9 +31,10 @@
  * @param crashingRequests requests during which servers were lost
  * @param responseMemory memory for responses of backend servers
  * @param metrics metrics of this daemon
+ * @param proof proof that the configuration is the newest one
  */
 public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wireFormat,
 		Supplier<@Nullable RoutingTable> routes, Shutdown shutdown, Membership membership, OwnerClient ownerClient,
 		SlotClient slotClient, HttpConnections serverConnections, CrashingRequests crashingRequests,
-		ResponseMemory responseMemory, Metrics metrics) {
+		ResponseMemory responseMemory, Metrics metrics, ConfigurationProof proof) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/WireFormat.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/WireFormat.java
@@ -3,6 +3,8 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 
+import org.hemlockgw.core.account.AccountScope;
+
 /**
  * Format of the HTTP headers between callers, this daemon and backend servers.
  */
@@ -18,12 +20,13 @@
 	/**
 	 * Creates the request to a backend server.
 	 * @param head the caller's request
+	 * @param scope client account of the request
 	 * @param server identifier of the server
 	 * @param remainingMs remaining time in milliseconds
 	 * @param bodyBytes size of the body in bytes
 	 * @return method, path and headers
 	 */
-	HttpRequest toServerRequest(HttpRequest head, String server, long remainingMs, int bodyBytes);
+	HttpRequest toServerRequest(HttpRequest head, AccountScope scope, String server, long remainingMs, int bodyBytes);
 
 	/**
 	 * Parses the headers of a backend server's response.
--- a/gateway/src/test/java/org/hemlockgw/gateway/entry/TurnSessionTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/entry/TurnSessionTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import org.hemlockgw.core.account.ConfigurationProof;
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
 import org.hemlockgw.core.store.RecordPage;
@@ -85,7 +86,8 @@
 				});
 		OwnerClient owner = new OwnerClient(membership, new ProgramOwner(membership, links), links);
 		Services services = new Services(this.loop, InstantSource.system(), System::nanoTime, null, () -> null,
-				new Shutdown(System::nanoTime), membership, owner, null, null, null, null, new Metrics());
+				new Shutdown(System::nanoTime), membership, owner, null, null, null, null, new Metrics(),
+				new ConfigurationProof(null, System::nanoTime, InstantSource.system()));
 		return new TurnSession(services, new PeerMessage.OpenTurn("t", "p", null, 1000, 10, 60_000, 3000),
 				new Deadline(System::nanoTime, 3000), new RecordingListener(this.events::add));
 	}
