Refuse keys while the configuration is not known to be the newest one

Cause: a daemon that is cut off from the store, frozen or suspended would accept a key long after it was revoked. CurrentConfiguration takes this over from Gateway.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -105,7 +105,7 @@
 
 	private @Nullable Channel callerListener;
 
-	private @Nullable RoutingTable routingTable;
+	private final CurrentConfiguration configuration;
 
 	private boolean serverListReceived;
 
@@ -129,22 +129,22 @@
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
 		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime);
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
-		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable, this.shutdown,
-				this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
-				serverConnections,
-				new CrashingRequests(loop, clock, System::nanoTime, this.membership, this.peerLinks, crashLog,
-						serverConnections),
-				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics,
-				new ConfigurationProof(null, System::nanoTime, clock));
+		ConfigurationProof proof = new ConfigurationProof(settings.revocationLimit(), System::nanoTime, clock);
+		this.configuration = new CurrentConfiguration(loop, proof, this.membership, this.peerLinks, metrics);
+		this.services = new Services(loop, clock, System::nanoTime, wireFormat, this.configuration::table,
+				this.shutdown, this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks),
+				this.slotClient, serverConnections, new CrashingRequests(loop, clock, System::nanoTime, this.membership,
+						this.peerLinks, crashLog, serverConnections),
+				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics, proof);
 	}
 
 	/**
 	 * Starts all roles. Must be called on the event loop's thread or before the event
 	 * loop runs its first task.
-	 * @param configuration source of routing configurations
+	 * @param source source of routing configurations
 	 * @param directory source of the list of backend servers
 	 */
-	public void start(ConfigurationSource configuration, BackendDirectory directory) {
+	public void start(ConfigurationSource source, BackendDirectory directory) {
 		PeerListener.start(this.settings.peerAddress(), this.loop, this);
 		StatusServer.start(this.settings.readinessAddress(), this.loop,
 				() -> isReady() ? new StatusServer.StatusResponse(200, "ready\n")
@@ -155,7 +155,7 @@
 		this.loop.execute(() -> {
 			this.membership.start();
 			this.services.crashingRequests().start();
-			configuration.watch(this::applyConfiguration);
+			this.configuration.start(source);
 			directory.watch((list) -> {
 				this.serverListReceived = true;
 				this.slotClient.updateServers(list);
@@ -181,7 +181,7 @@
 	}
 
 	private void initCallerChannel(SocketChannel channel) {
-		RoutingTable current = this.routingTable;
+		RoutingTable current = this.configuration.table();
 		CallerLimits limits = (current != null) ? current.limits() : CallerLimits.DEFAULT;
 		CallerConnection connection = new CallerConnection(this.services, channel);
 		channel.pipeline()
@@ -192,21 +192,9 @@
 		channel.closeFuture().addListener((closed) -> this.callerConnections.remove(connection));
 	}
 
-	private void applyConfiguration(RoutingTable next) {
-		RoutingTable current = this.routingTable;
-		if (current != null && next.version() <= current.version()) {
-			return;
-		}
-		this.routingTable = next;
-		logger.atInfo()
-			.addKeyValue(LogFields.CONFIGURATION, next.version())
-			.addKeyValue(LogFields.REASON, (current != null) ? "replaces " + current.version() : "first")
-			.log("configuration applied");
-	}
-
 	private boolean isReady() {
 		this.hasSettled = this.hasSettled || this.membership.isReady();
-		return !this.shutdown.isActive() && this.routingTable != null && this.serverListReceived && this.hasSettled
+		return !this.shutdown.isActive() && this.configuration.isReady() && this.serverListReceived && this.hasSettled
 				&& this.services.crashingRequests().isLoaded();
 	}
 
@@ -220,6 +208,7 @@
 		metrics.setGauge("turns", this.membership.turnCount());
 		metrics.setGauge("unacknowledged_records", this.membership.unacknowledgedRecordCount());
 		metrics.setGauge("server_connections_opened", this.services.serverConnections().openedCount());
+		metrics.setGauge("configuration_proof_age_ms", this.configuration.proofAgeMs());
 		metrics.setGauge("heap_bytes", runtime.totalMemory() - runtime.freeMemory());
 		return metrics.render();
 	}
@@ -267,6 +256,9 @@
 		else if (message instanceof PeerMessage.ContentProcessed processed) {
 			this.services.crashingRequests().handle(processed);
 		}
+		else if (message instanceof PeerMessage.ProofRequest request) {
+			this.configuration.handle(request, reply);
+		}
 		else {
 			logger.warn("ignoring unexpected message {} from {}", message.getClass().getSimpleName(), sender);
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -29,6 +29,7 @@
 		addTurns();
 		addSlots();
 		addRelays();
+		addProofs();
 	}
 
 	private PeerCodec() {
@@ -136,6 +137,18 @@
 				(in) -> new PeerMessage.ReadRelayed(FieldCodec.readPage(in)));
 	}
 
+	private static void addProofs() {
+		add(40, PeerMessage.ProofRequest.class, (out, request) -> out.packLong(request.version()),
+				(in) -> new PeerMessage.ProofRequest(in.unpackLong()));
+		add(41, PeerMessage.ProofReply.class, (out, reply) -> {
+			out.packLong(reply.version()).packLong(reply.ageMs()).packBoolean(reply.document() != null);
+			if (reply.document() != null) {
+				FieldCodec.writeBytes(out, reply.document());
+			}
+		}, (in) -> new PeerMessage.ProofReply(in.unpackLong(), in.unpackLong(),
+				in.unpackBoolean() ? FieldCodec.readBytes(in) : null));
+	}
+
 	private static <M extends PeerMessage> void add(int type, Class<M> messageType, Writer<M> writer,
 			Reader<M> reader) {
 		Format<M> format = new Format<>(type, messageType, writer, reader);
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -318,6 +318,28 @@
 	record ServerLeaving(String server, long startedAtMs) implements PeerMessage {
 	}
 
+	/**
+	 * Requests a proof that the sender's configuration is the newest one. Answered by
+	 * {@link ProofReply}.
+	 *
+	 * @param version version of the sender's configuration; {@link Long#MIN_VALUE} if it
+	 * has none
+	 */
+	record ProofRequest(long version) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link ProofRequest}.
+	 *
+	 * @param version version of the answering daemon's configuration
+	 * @param ageMs age in milliseconds of its proof that this version is the newest one;
+	 * negative without a proof
+	 * @param document the configuration document; null unless the requester's version is
+	 * older
+	 */
+	record ProofReply(long version, long ageMs, byte @Nullable [] document) implements PeerMessage {
+	}
+
 	/**
 	 * Store call on behalf of a daemon whose own calls to the store fail.
 	 */
