--- a/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
+++ b/standins/src/main/java/org/hemlockgw/standins/platform/TurnEngine.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.jspecify.annotations.Nullable;
@@ -18,6 +19,9 @@
  */
 public final class TurnEngine implements AutoCloseable {
 
+	private static final List<String> RECORDED_HEADERS = List.of("Authorization", "X-Tenant", "X-Hold", "X-Pin-Ms",
+			"X-Kv-Backup", "Kv-From", "Kv-Fetch");
+
 	private final String id;
 
 	private final StandinHttpServer server;
@@ -113,7 +117,7 @@
 		}
 		String body = new String(exchange.body(), StandardCharsets.UTF_8);
 		int lastEvent = parseEventId(exchange.header("Last-Event-Id"));
-		this.runs.add(new Run(request, body, lastEvent));
+		this.runs.add(new Run(request, body, lastEvent, recordedHeaders(exchange)));
 		if (now == Fault.ANSWER_LOST) {
 			throw new IOException("answer is lost");
 		}
@@ -145,6 +149,17 @@
 		});
 	}
 
+	private static Map<String, String> recordedHeaders(Exchange exchange) {
+		Map<String, String> found = new TreeMap<>();
+		for (String name : RECORDED_HEADERS) {
+			String value = exchange.header(name);
+			if (value != null) {
+				found.put(name, value);
+			}
+		}
+		return found;
+	}
+
 	// Closing the answer would end it as if it were whole.
 	private void cut() throws IOException {
 		this.server.stop();
@@ -219,8 +234,10 @@
 	 * @param request its identifier
 	 * @param body its body
 	 * @param lastEvent event after which its stream resumes; 0 for a whole stream
+	 * @param headers received headers that concern accounts or that only the gateway may
+	 * set
 	 */
-	public record Run(String request, String body, int lastEvent) {
+	public record Run(String request, String body, int lastEvent, Map<String, String> headers) {
 
 	}
 
