--- a/cli/src/main/java/org/hemlockgw/cli/LogFiles.java
+++ b/cli/src/main/java/org/hemlockgw/cli/LogFiles.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -26,6 +27,12 @@
 	/** Name of standard input. */
 	static final String STANDARD_INPUT = "-";
 
+	/**
+	 * Text that may be an identifier qualified with a client account: length of the
+	 * account's name, colon, name, identifier.
+	 */
+	private static final Pattern QUALIFIED = Pattern.compile("\"(\\d{1,3}):([^\"]*)\"");
+
 	private static final ObjectMapper JSON = new ObjectMapper();
 
 	private final InputStream standardInput;
@@ -47,7 +54,7 @@
 		Pattern name = Pattern.compile("(?<![\\w-])" + Pattern.quote(request) + "(?![\\w-])");
 		try (BufferedReader in = new BufferedReader(new InputStreamReader(open(file), StandardCharsets.UTF_8))) {
 			for (String line = in.readLine(); line != null; line = in.readLine()) {
-				if (name.matcher(line).find()) {
+				if (name.matcher(line).find() || hasQualified(line, request)) {
 					add(file, line);
 				}
 			}
@@ -57,6 +64,17 @@
 		}
 	}
 
+	private static boolean hasQualified(String line, String request) {
+		for (Matcher matcher = QUALIFIED.matcher(line); matcher.find();) {
+			String text = matcher.group(2);
+			int accountLength = Integer.parseInt(matcher.group(1));
+			if (accountLength <= text.length() && text.substring(accountLength).equals(request)) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private InputStream open(String file) throws IOException {
 		return file.equals(STANDARD_INPUT) ? this.standardInput : Files.newInputStream(Path.of(file));
 	}
--- a/core/src/main/java/org/hemlockgw/core/account/PeerProofSchedule.java
+++ b/core/src/main/java/org/hemlockgw/core/account/PeerProofSchedule.java
@@ -85,13 +85,12 @@
 		}
 		this.failures.values().removeIf((failure) -> nowNanos - failure > FAILURE_BACKOFF_NANOS);
 		List<String> candidates = new ArrayList<>(peers);
-		candidates.removeIf(this.failures::containsKey);
-		if (candidates.isEmpty()) {
-			candidates.addAll(peers);
-		}
 		if (candidates.size() > 1) {
 			candidates.remove(this.lastPeer);
 		}
+		if (!this.failures.keySet().containsAll(candidates)) {
+			candidates.removeAll(this.failures.keySet());
+		}
 		if (candidates.isEmpty()) {
 			return null;
 		}
