--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/quota/CapShares.java
@@ -0,0 +1,42 @@
+package org.hemlockgw.core.quota;
+
+import org.hemlockgw.core.account.UsageCap;
+import org.hemlockgw.core.account.UsageCapBounds;
+
+/**
+ * Division of the requests that a usage cap tolerates in one window. The sum of
+ * {@code capacity + rate * window} and the three shares of the reserve never exceeds
+ * {@link UsageCapBounds#maxRequests}.
+ *
+ * @param windowSeconds length of the window in seconds
+ * @param rate refill of the bucket in permits per second
+ * @param capacity capacity of the bucket in permits
+ * @param returns credited returns per window
+ * @param start additional permits per window after a start without state
+ * @param unconfirmed permits per window of holders without confirmed membership
+ */
+record CapShares(double windowSeconds, double rate, double capacity, double returns, double start, double unconfirmed) {
+
+	/** Fraction of the reserve for returned permits, the most frequent use. */
+	private static final double RETURNS_FRACTION = 0.4;
+
+	private static final double START_FRACTION = 0.2;
+
+	private static final double UNCONFIRMED_FRACTION = 0.4;
+
+	static CapShares of(UsageCap cap, UsageCapBounds bounds) {
+		double window = bounds.window().toNanos() / 1e9;
+		double excess = bounds.excess() / 2;
+		double rate = cap.ratePerSecond() * (1 + excess);
+		double capacity = cap.burst() * (1 + excess) + bounds.slack() / 2;
+		double reserve = bounds.maxRequests(cap) - rate * window - capacity;
+		if (capacity < 1) {
+			// A bucket that holds less than one permit would never grant one.
+			rate = Math.max(0, rate - (1 - capacity) / window);
+			capacity = 1;
+		}
+		return new CapShares(window, rate, capacity, reserve * RETURNS_FRACTION, reserve * START_FRACTION,
+				reserve * UNCONFIRMED_FRACTION);
+	}
+
+}
