Request permits for accounts with a usage cap

Cause: no daemon counts the requests of an account. Change: PermitHolder grants permits for the shards of this daemon with the time at which each join was sent; PermitClient and PermitGate request one permit per request in parallel with owner and slot, and return it if the request never runs. Messages 45 to 49. Measured: PeerCodecTests, TurnSessionTests, MembershipTests and PeerLinksTests pass.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.account.ConfigurationProof;
+import org.hemlockgw.core.quota.ClockReading;
 import org.hemlockgw.core.route.CallerLimits;
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.core.store.StateStore;
@@ -41,6 +42,8 @@
 import org.hemlockgw.gateway.peer.PeerListener;
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.PeerService;
+import org.hemlockgw.gateway.quota.PermitClient;
+import org.hemlockgw.gateway.quota.PermitHolder;
 import org.hemlockgw.gateway.slots.SlotClient;
 import org.hemlockgw.gateway.telemetry.LogFields;
 import org.hemlockgw.gateway.telemetry.MeasuredStore;
@@ -99,6 +102,8 @@
 
 	private final SlotClient slotClient;
 
+	private final PermitHolder permitHolder;
+
 	private final Services services;
 
 	private final Set<CallerConnection> callerConnections = new HashSet<>();
@@ -128,14 +133,23 @@
 				this::notifyPeersOfAssignment);
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
 		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime);
+		this.permitHolder = new PermitHolder(loop, this.membership, this.peerLinks, this::findRoutes,
+				() -> new ClockReading(System.nanoTime(), clock.millis()), settings.capBounds(), metrics);
+		this.membership.setAssignmentListener(this.permitHolder);
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
 		ConfigurationProof proof = new ConfigurationProof(settings.revocationLimit(), System::nanoTime, clock);
 		this.configuration = new CurrentConfiguration(loop, proof, this.membership, this.peerLinks, metrics);
 		this.services = new Services(loop, clock, System::nanoTime, wireFormat, this.configuration::table,
 				this.shutdown, this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks),
-				this.slotClient, serverConnections, new CrashingRequests(loop, clock, System::nanoTime, this.membership,
-						this.peerLinks, crashLog, serverConnections),
-				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics, proof);
+				this.slotClient, serverConnections,
+				new CrashingRequests(loop, clock, System::nanoTime, this.membership, this.peerLinks, crashLog,
+						serverConnections),
+				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics, proof,
+				new PermitClient(loop, this.membership, this.peerLinks, this.permitHolder));
+	}
+
+	private @Nullable RoutingTable findRoutes() {
+		return this.configuration.table();
 	}
 
 	/**
@@ -220,7 +234,16 @@
 
 	@Override
 	public void handle(String sender, PeerMessage message, Consumer<PeerMessage> reply) {
-		if (message instanceof PeerMessage.OpenTurn open) {
+		if (message instanceof PeerMessage.AskPermit ask) {
+			this.permitHolder.handle(ask, reply);
+		}
+		else if (message instanceof PeerMessage.ReturnPermit returned) {
+			this.permitHolder.handle(returned);
+		}
+		else if (message instanceof PeerMessage.AccountsHandover handover) {
+			this.permitHolder.handle(handover, reply);
+		}
+		else if (message instanceof PeerMessage.OpenTurn open) {
 			this.programOwner.openTurn(open, reply);
 		}
 		else if (message instanceof PeerMessage.CloseTurn close) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/AdmittedRequest.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/AdmittedRequest.java
@@ -29,6 +29,11 @@
 		return this.headers.id();
 	}
 
+	boolean isTurn() {
+		return this.route.kind() == RequestKind.STREAMING && this.route.retention() != null
+				&& this.headers.program() != null;
+	}
+
 	/**
 	 * Creates the request to the owner of the program.
 	 * @param remainingMs time in milliseconds until the deadline
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -79,6 +79,8 @@
 
 	private @Nullable ServerAttempts serverAttempts;
 
+	private @Nullable PermitGate gate;
+
 	private @Nullable Future<?> timeoutTimer;
 
 	private boolean responseComplete;
@@ -135,11 +137,14 @@
 				this.pool);
 		PeerMessage.OpenTurn openTurn = admitted.toOpenTurn(this.deadline.remainingMs());
 		this.historyStored = route.historyStored();
+		PermitGate newGate = new PermitGate(this.services, admitted, this.deadline, new FailureEvents());
+		this.gate = newGate;
 		ServerAttempts servers = new ServerAttempts(this.services, this.caller, admitted, this.deadline, this.log,
-				new AttemptEvents());
+				newGate, new AttemptEvents());
 		this.serverAttempts = servers;
 		this.timeoutTimer = this.services.loop()
 			.schedule(() -> handleTimeout(servers), this.deadline.remainingMs(), TimeUnit.MILLISECONDS);
+		newGate.start();
 		if (openTurn == null) {
 			// Only turns begin programs; any other request of a program follows one.
 			servers.start(NO_PROMPT, this.callerRequest.program() != null);
@@ -282,13 +287,13 @@
 		this.caller.channel().close();
 	}
 
-	// Status 503 guarantees that the request has not run.
+	// Status 503 or 429 guarantees that the request has not run.
 	private void refuse(int preferredStatus, long retryAfterMs, String reason) {
 		if (this.ended) {
 			return;
 		}
 		boolean mayHaveRun = this.serverAttempts != null && this.serverAttempts.mayHaveRun();
-		int status = (preferredStatus == 503 && mayHaveRun) ? 502 : preferredStatus;
+		int status = ((preferredStatus == 503 || preferredStatus == 429) && mayHaveRun) ? 502 : preferredStatus;
 		this.log.refused(status, retryAfterMs, reason);
 		cancel();
 		this.caller.sendError(status, retryAfterMs, reason);
@@ -297,6 +302,9 @@
 	private void cancel() {
 		this.ended = true;
 		cancelTimer();
+		if (this.gate != null && this.serverAttempts != null) {
+			this.gate.close(this.serverAttempts.mayHaveRun());
+		}
 		if (this.serverAttempts != null) {
 			this.serverAttempts.cancel();
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -50,6 +50,8 @@
 
 	private final RequestLog log;
 
+	private final PermitGate gate;
+
 	private final ServerAttemptListener listener;
 
 	private final Set<String> excludedServers = new HashSet<>();
@@ -79,15 +81,17 @@
 	 * @param request the request
 	 * @param deadline deadline of the request
 	 * @param log log of the request
+	 * @param gate delays the request until it has a permit
 	 * @param listener receives responses and failures until {@link #cancel()}
 	 */
 	ServerAttempts(Services services, CallerConnection caller, AdmittedRequest request, Deadline deadline,
-			RequestLog log, ServerAttemptListener listener) {
+			RequestLog log, PermitGate gate, ServerAttemptListener listener) {
 		this.services = services;
 		this.caller = caller;
 		this.request = request;
 		this.deadline = deadline;
 		this.log = log;
+		this.gate = gate;
 		this.listener = listener;
 		this.content = request.content(NO_PREFIX);
 	}
@@ -147,6 +151,9 @@
 		if (this.cancelled) {
 			releaseSlot(0, false);
 		}
+		else if (!this.gate.isGranted()) {
+			this.gate.whenGranted(() -> useGrantedSlot(server, address));
+		}
 		else if (this.deadline.remainingMs() < MIN_REMAINING_MS) {
 			this.listener.refused(503, 0, "too little time is left");
 		}
@@ -281,6 +288,9 @@
 			return false;
 		}
 		discardResponse();
+		if (this.mayHaveRun) {
+			this.gate.renew();
+		}
 		acquire();
 		return true;
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -12,6 +12,7 @@
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
 import org.hemlockgw.gateway.owner.OwnerClient;
+import org.hemlockgw.gateway.quota.PermitClient;
 import org.hemlockgw.gateway.slots.SlotClient;
 import org.hemlockgw.gateway.telemetry.Metrics;
 
@@ -32,9 +33,10 @@
  * @param responseMemory memory for responses of backend servers
  * @param metrics metrics of this daemon
  * @param proof proof that the configuration is the newest one
+ * @param permits client of the holders of client accounts
  */
 public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wireFormat,
 		Supplier<@Nullable RoutingTable> routes, Shutdown shutdown, Membership membership, OwnerClient ownerClient,
 		SlotClient slotClient, HttpConnections serverConnections, CrashingRequests crashingRequests,
-		ResponseMemory responseMemory, Metrics metrics, ConfigurationProof proof) {
+		ResponseMemory responseMemory, Metrics metrics, ConfigurationProof proof, PermitClient permits) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/GroupJoins.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/GroupJoins.java
@@ -1,12 +1,14 @@
 package org.hemlockgw.gateway.owner;
 
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.core.quota.ClockReading;
 import org.hemlockgw.core.store.ShardAssignment;
 import org.hemlockgw.core.store.StateStore;
 import org.hemlockgw.gateway.telemetry.LogFields;
@@ -29,7 +31,9 @@
 
 	private final LongSupplier generation;
 
-	private final Consumer<ShardAssignment> onAssigned;
+	private final Supplier<ClockReading> clock;
+
+	private final BiConsumer<ShardAssignment, ClockReading> onAssigned;
 
 	private boolean rejoinRequested;
 
@@ -42,15 +46,18 @@
 	 * @param health notified of answers and failures
 	 * @param sequence numbers of the joins
 	 * @param generation returns the generation of the last assignment
-	 * @param onAssigned receives the assignments, unless a later one was received before
+	 * @param clock reads both clocks
+	 * @param onAssigned receives the assignments with the times at which their joins were
+	 * sent, unless a later one was received before
 	 */
 	GroupJoins(StateStore store, MemberName self, StoreHealth health, JoinSequence sequence, LongSupplier generation,
-			Consumer<ShardAssignment> onAssigned) {
+			Supplier<ClockReading> clock, BiConsumer<ShardAssignment, ClockReading> onAssigned) {
 		this.store = store;
 		this.self = self;
 		this.health = health;
 		this.sequence = sequence;
 		this.generation = generation;
+		this.clock = clock;
 		this.onAssigned = onAssigned;
 	}
 
@@ -86,11 +93,12 @@
 		}
 		long number = this.sequence.begin();
 		this.rejoinRequested = false;
+		ClockReading sent = this.clock.get();
 		this.store.join(this.self.text(), this.generation.getAsLong())
-			.whenComplete((assignment, error) -> handleJoined(number, assignment, error));
+			.whenComplete((assignment, error) -> handleJoined(number, sent, assignment, error));
 	}
 
-	private void handleJoined(long number, ShardAssignment assignment, @Nullable Throwable error) {
+	private void handleJoined(long number, ClockReading sent, ShardAssignment assignment, @Nullable Throwable error) {
 		if (error != null) {
 			this.health.recordFailedJoin();
 			logger.atWarn().addKeyValue(LogFields.REASON, error.getMessage()).log("failed to join the group");
@@ -102,7 +110,7 @@
 			return;
 		}
 		if (error == null) {
-			this.onAssigned.accept(assignment);
+			this.onAssigned.accept(assignment, sent);
 		}
 		if (this.rejoinRequested) {
 			join();
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.core.quota.ClockReading;
 import org.hemlockgw.core.store.ShardAssignment;
 import org.hemlockgw.core.store.ShardHolders;
 import org.hemlockgw.core.store.StateStore;
@@ -89,6 +90,9 @@
 
 	private final GroupJoins joins;
 
+	private AssignmentListener assignmentListener = (assignment, sent) -> {
+	};
+
 	private boolean leaving;
 
 	private boolean readingHolders;
@@ -113,14 +117,22 @@
 		this.onShardsLost = onShardsLost;
 		this.peers = peers;
 		this.members = new KnownMembers(self, nanoClock);
-		this.holders = new ShardHolderTable(self);
+		this.holders = new ShardHolderTable(self, nanoClock);
 		this.health = new StoreHealth(nanoClock, this::resendAppends);
 		this.store = new RelayedStore(store, peers, this.members);
 		this.joins = new GroupJoins(this.store, self, this.health, new JoinSequence(nanoClock, JOIN_INTERVAL_MS / 2),
-				() -> this.generation, this::apply);
+				() -> this.generation, () -> new ClockReading(nanoClock.getAsLong(), clock.millis()), this::apply);
 		this.owned = new OwnedShards(loop, this.store, clock, nanoClock, this.health, this::refresh, this::announce);
 	}
 
+	/**
+	 * Sets the listener for assignments.
+	 * @param listener the listener
+	 */
+	public void setAssignmentListener(AssignmentListener listener) {
+		this.assignmentListener = listener;
+	}
+
 	public void start() {
 		this.loop.scheduleAtFixedRate(this.joins::join, 0, JOIN_INTERVAL_MS, TimeUnit.MILLISECONDS);
 		this.loop.scheduleAtFixedRate(this.joins::probe, PROBE_INTERVAL_MS, PROBE_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -146,7 +158,7 @@
 		readHolders();
 	}
 
-	private void apply(ShardAssignment assignment) {
+	private void apply(ShardAssignment assignment, ClockReading sent) {
 		if (this.leaving || assignment.generation() < this.generation) {
 			return;
 		}
@@ -159,6 +171,7 @@
 			this.owned.confirmOwnership();
 		}
 		this.owned.acquireAll(assignment.shards(), this.generation);
+		this.assignmentListener.assigned(assignment, sent);
 		if (generationChanged) {
 			logger.atInfo()
 				.addKeyValue(LogFields.GENERATION, this.generation)
@@ -270,6 +283,8 @@
 			return;
 		}
 		this.owned.retainOnly((number) -> false);
+		this.assignmentListener.assigned(new ShardAssignment(this.generation, Set.of()),
+				new ClockReading(this.nanoClock.getAsLong(), 0));
 		this.store.leave(this.self.text()).whenComplete((result, error) -> {
 			if (error != null) {
 				logger.warn("failed to leave the group: {}", error.getMessage());
@@ -315,6 +330,15 @@
 		return this.holders.holderAddress(shard);
 	}
 
+	/**
+	 * Returns the daemon that held a shard last, other than this one.
+	 * @param shard number of the shard
+	 * @return the holder, or null if none is known
+	 */
+	public @Nullable PreviousHolder previousHolder(int shard) {
+		return this.holders.previousHolder(shard);
+	}
+
 	/**
 	 * Returns the addresses of all other daemons that hold shards.
 	 * @return peer addresses
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardHolderTable.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/ShardHolderTable.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -21,12 +22,17 @@
 
 	private final MemberName self;
 
+	private final LongSupplier nanoClock;
+
+	private final Map<Integer, PreviousHolder> previousHolders = new HashMap<>();
+
 	private long generation;
 
 	private Map<Integer, MemberName> holders = Map.of();
 
-	ShardHolderTable(MemberName self) {
+	ShardHolderTable(MemberName self, LongSupplier nanoClock) {
 		this.self = self;
+		this.nanoClock = nanoClock;
 	}
 
 	/**
@@ -48,11 +54,28 @@
 				updated.put(shard, name);
 			}
 		});
+		updated.forEach((shard, holder) -> recordHolder(shard, holder, found.generation()));
 		this.generation = found.generation();
 		this.holders = updated;
 		return true;
 	}
 
+	// After a skipped generation another daemon may have held the shard in between.
+	private void recordHolder(int shard, MemberName holder, long newGeneration) {
+		if (holder.equals(this.self)) {
+			return;
+		}
+		PreviousHolder known = this.previousHolders.get(shard);
+		boolean continued = known != null && known.address().equals(holder.peerAddress())
+				&& holder.equals(this.holders.get(shard)) && newGeneration <= known.generation() + 1;
+		long sinceNanos = (continued && known != null) ? known.sinceNanos() : this.nanoClock.getAsLong();
+		this.previousHolders.put(shard, new PreviousHolder(holder.peerAddress(), newGeneration, sinceNanos));
+	}
+
+	@Nullable PreviousHolder previousHolder(int shard) {
+		return this.previousHolders.get(shard);
+	}
+
 	boolean isEmpty() {
 		return this.holders.isEmpty();
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerCodec.java
@@ -29,6 +29,7 @@
 		addTurns();
 		addSlots();
 		addRelays();
+		addPermits();
 		addProofs();
 	}
 
@@ -149,6 +150,22 @@
 				in.unpackBoolean() ? FieldCodec.readBytes(in) : null));
 	}
 
+	private static void addPermits() {
+		add(45, PeerMessage.AskPermit.class, (out, ask) -> PermitCodec.writeRequest(out, ask.request()),
+				(in) -> new PeerMessage.AskPermit(PermitCodec.readRequest(in)));
+		add(46, PeerMessage.PermitAnswered.class,
+				(out, answered) -> PermitCodec.writeDecision(out, answered.decision()),
+				(in) -> new PeerMessage.PermitAnswered(PermitCodec.readDecision(in)));
+		add(47, PeerMessage.ReturnPermit.class,
+				(out, returned) -> out.packString(returned.account()).packLong(returned.permit()),
+				(in) -> new PeerMessage.ReturnPermit(in.unpackString(), in.unpackLong()));
+		add(48, PeerMessage.AccountsHandover.class,
+				(out, handover) -> out.packInt(handover.shard()).packLong(handover.generation()),
+				(in) -> new PeerMessage.AccountsHandover(in.unpackInt(), in.unpackLong()));
+		add(49, PeerMessage.AccountsHandedOver.class, (out, handed) -> PermitCodec.writeState(out, handed.state()),
+				(in) -> new PeerMessage.AccountsHandedOver(PermitCodec.readState(in)));
+	}
+
 	private static <M extends PeerMessage> void add(int type, Class<M> messageType, Writer<M> writer,
 			Reader<M> reader) {
 		Format<M> format = new Format<>(type, messageType, writer, reader);
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.gateway.peer;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -105,6 +106,8 @@
 
 		private final @Nullable ChannelFuture connectFuture;
 
+		private boolean refused;
+
 		private long lastReadNanos = PeerLinks.this.nanoClock.getAsLong();
 
 		Link(String address) {
@@ -114,6 +117,7 @@
 			if (this.connectFuture != null) {
 				this.connectFuture.addListener((done) -> {
 					if (!done.isSuccess()) {
+						this.refused = isRefusal(done.cause());
 						close("can't connect: " + done.cause());
 					}
 				});
@@ -121,6 +125,13 @@
 			}
 		}
 
+		// Other causes, such as an unreachable network, do not show that the process has
+		// ended.
+		private static boolean isRefusal(Throwable cause) {
+			return cause instanceof ConnectException
+					&& String.valueOf(cause.getMessage()).startsWith("Connection refused");
+		}
+
 		private ChannelFuture connect(InetSocketAddress target) {
 			return new Bootstrap().group(PeerLinks.this.loop)
 				.channel(NioSocketChannel.class)
@@ -199,7 +210,13 @@
 			this.pendingReplies.clear();
 			lost.forEach((pending) -> {
 				pending.cancelTimer();
-				pending.listener.onFailure("peer " + this.address + ": " + cause);
+				String text = "peer " + this.address + ": " + cause;
+				if (this.refused) {
+					pending.listener.onRefused(text);
+				}
+				else {
+					pending.listener.onFailure(text);
+				}
 			});
 		}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerMessage.java
@@ -6,6 +6,9 @@
 
 import org.hemlockgw.core.pool.SlotDecision;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.quota.PermitDecision;
+import org.hemlockgw.core.quota.PermitRequest;
+import org.hemlockgw.core.quota.ShardPermitsState;
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.KeyedValue;
 import org.hemlockgw.core.store.RecordPage;
@@ -340,6 +343,50 @@
 	record ProofReply(long version, long ageMs, byte @Nullable [] document) implements PeerMessage {
 	}
 
+	/**
+	 * Requests a permit for a request of a client account. Answered by
+	 * {@link PermitAnswered}.
+	 *
+	 * @param request the request
+	 */
+	record AskPermit(PermitRequest request) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link AskPermit}.
+	 *
+	 * @param decision the decision
+	 */
+	record PermitAnswered(PermitDecision decision) implements PeerMessage {
+	}
+
+	/**
+	 * Returns a permit whose request has not run and never will. Not answered.
+	 *
+	 * @param account name of the account
+	 * @param permit identifier of the permit
+	 */
+	record ReturnPermit(String account, long permit) implements PeerMessage {
+	}
+
+	/**
+	 * Requests the accounts of a shard from its previous holder, which gives them up.
+	 * Answered by {@link AccountsHandedOver}.
+	 *
+	 * @param shard number of the shard
+	 * @param generation generation in which the sender acquired it
+	 */
+	record AccountsHandover(int shard, long generation) implements PeerMessage {
+	}
+
+	/**
+	 * Answer to {@link AccountsHandover}.
+	 *
+	 * @param state the state; null if the daemon doesn't have it
+	 */
+	record AccountsHandedOver(@Nullable ShardPermitsState state) implements PeerMessage {
+	}
+
 	/**
 	 * Store call on behalf of a daemon whose own calls to the store fail.
 	 */
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/ReplyListener.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/ReplyListener.java
@@ -13,4 +13,13 @@
 	 */
 	void onFailure(String cause);
 
+	/**
+	 * Called instead of {@link #onFailure} if the daemon's address refuses connections,
+	 * so that its process has ended.
+	 * @param cause cause of the failure
+	 */
+	default void onRefused(String cause) {
+		onFailure(cause);
+	}
+
 }
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -16,6 +16,10 @@
 import org.hemlockgw.core.pool.PromptPart;
 import org.hemlockgw.core.pool.SlotDecision;
 import org.hemlockgw.core.pool.SlotRequest;
+import org.hemlockgw.core.quota.AccountLevel;
+import org.hemlockgw.core.quota.PermitDecision;
+import org.hemlockgw.core.quota.PermitRequest;
+import org.hemlockgw.core.quota.ShardPermitsState;
 import org.hemlockgw.core.store.AppendOutcome;
 import org.hemlockgw.core.store.RecordPage;
 import org.hemlockgw.core.store.ShardAssignment;
@@ -43,6 +47,12 @@
 				new PeerMessage.FindTurn("t1"), new PeerMessage.AcquireSlot("pool", REQUEST),
 				new PeerMessage.SlotAnswered(new SlotDecision("s1", "127.0.0.1:1", 0, "")),
 				new PeerMessage.SlotAnswered(SlotDecision.refused(250, "full")), new PeerMessage.SlotAnswered(null),
+				new PeerMessage.AskPermit(new PermitRequest("acme", -77, true)),
+				new PeerMessage.PermitAnswered(new PermitDecision(PermitDecision.Status.DENIED, 0, 350)),
+				new PeerMessage.ReturnPermit("acme", 1L << 40), new PeerMessage.AccountsHandover(3, 8),
+				new PeerMessage.AccountsHandedOver(null),
+				new PeerMessage.AccountsHandedOver(
+						new ShardPermitsState(900, List.of(new AccountLevel("acme", 2.5f, 0.5f)))),
 				new PeerMessage.SlotQueued(), new PeerMessage.ReleaseSlot("pool", "r1", 3, true),
 				new PeerMessage.HoldSlot("pool", REQUEST, "s1"), new PeerMessage.AssignmentChanged(),
 				new PeerMessage.ServerLost("abc", -5, "s1", 1_796_463_000_000L, 1_796_463_045_915L),
