Order the queue by account and slack, and admit programs by expected demand

Cause: one account's flood delayed all accounts, and new programs were refused only after started ones had waited, with a Retry-After that did not depend on the rate.

SlotRequest carries the route and the program. Each event costs time logarithmic in the queue instead of a copy of it.

Not yet measured on a deployment.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -1,13 +1,12 @@
 package org.hemlockgw.core.pool;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -45,6 +44,16 @@
 	 */
 	private static final double NEW_PROGRAM_WAIT_FRACTION = 0.25;
 
+	/**
+	 * Factor by which the expected wait of a request that is not the first of a program
+	 * must exceed its time before it is refused while it waits; a refusal costs all work
+	 * of its program.
+	 */
+	private static final double STARTED_WAIT_TOLERANCE = 2;
+
+	/** Longest time of a request in milliseconds; longer ones would overflow. */
+	private static final long MAX_TIME_MS = 1_000_000_000;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final LongSupplier nanoClock;
@@ -53,15 +62,15 @@
 
 	private final Map<String, Grant> grants = new HashMap<>();
 
-	private final TreeSet<QueueEntry> queue = new TreeSet<>(
-			Comparator.comparing((QueueEntry entry) -> !entry.request.programStarted())
-				.thenComparing((entry) -> entry.request.programRemainingMs() < 0)
-				.thenComparingInt((entry) -> entry.request.priority())
-				.thenComparingLong((entry) -> entry.sequence));
+	private final SlotQueue queue = new SlotQueue();
+
+	private final ProgramsUnderWay programs = new ProgramsUnderWay();
+
+	private final ProgramAdmissionPolicy admission = new ProgramAdmissionPolicy(this.programs);
 
-	private final Map<String, QueueEntry> entriesById = new HashMap<>();
+	private final WaitBasedAdmission waits;
 
-	private final WaitBasedAdmission admission;
+	private final SchedulerListener listener;
 
 	private double averageDurationMs = INITIAL_DURATION_MS;
 
@@ -72,8 +81,18 @@
 	 * @param nanoClock monotonic clock in nanoseconds
 	 */
 	public PoolScheduler(LongSupplier nanoClock) {
+		this(nanoClock, SchedulerListener.NONE);
+	}
+
+	/**
+	 * Creates a scheduler without servers.
+	 * @param nanoClock monotonic clock in nanoseconds
+	 * @param listener receives measurements
+	 */
+	public PoolScheduler(LongSupplier nanoClock, SchedulerListener listener) {
 		this.nanoClock = nanoClock;
-		this.admission = new WaitBasedAdmission(nanoClock);
+		this.waits = new WaitBasedAdmission(nanoClock);
+		this.listener = listener;
 	}
 
 	/**
@@ -94,12 +113,14 @@
 	 */
 	public void submit(SlotRequest request, Consumer<SlotDecision> answer) {
 		long now = this.nanoClock.getAsLong();
-		QueueEntry entry = new QueueEntry(request, answer, now, ++this.sequence);
-		if (isNewProgram(request) && !this.servers.hasSpareSlots() && !this.admission.isOpen(this.averageDurationMs)) {
-			answer.accept(
-					SlotDecision.refused(this.admission.retryAfterMs(request.id()), "started programs wait for slots, "
-							+ this.queue.size() + " waiting and " + this.grants.size() + " in flight"));
-			return;
+		this.programs.recordArrival(request, now);
+		QueuedRequest entry = toEntry(request, answer, now);
+		if (isNewProgram(request)) {
+			RefusalReason refusal = checkNewProgram(request);
+			if (refusal != null) {
+				refuse(entry, refusal, retryAfterMs(request), describe(refusal));
+				return;
+			}
 		}
 		PoolServer server = this.queue.isEmpty() ? select(request) : null;
 		if (server != null) {
@@ -107,24 +128,69 @@
 			return;
 		}
 		if (!this.servers.hasAvailable(Set.of())) {
-			answer.accept(SlotDecision.refused(FAILURE_COOLDOWN_MS, "no server"));
+			refuse(entry, RefusalReason.NO_SERVER, FAILURE_COOLDOWN_MS, "no server");
 			return;
 		}
 		if (!this.servers.hasAvailable(request.excluded())) {
-			answer.accept(SlotDecision.refused(Math.round(this.averageDurationMs), "no server is left to try"));
+			refuse(entry, RefusalReason.NO_SERVER, Math.round(this.averageDurationMs), "no server is left to try");
 			return;
 		}
-		long waitMs = expectedWaitMs(entry);
+		long waitMs = expectedWaitMs(this.queue.countAhead(entry, now));
 		if (waitMs > maxWaitMs(request)) {
-			answer.accept(SlotDecision.refused(waitMs, "expected wait of " + waitMs + " ms with " + this.queue.size()
-					+ " waiting and " + this.grants.size() + " in flight"));
+			refuseForWait(entry, waitMs);
 			return;
 		}
-		this.queue.add(entry);
-		this.entriesById.put(request.id(), entry);
+		this.queue.add(entry, now);
 		grantQueuedRequests();
 	}
 
+	private QueuedRequest toEntry(SlotRequest request, Consumer<SlotDecision> answer, long now) {
+		RouteProfile profile = this.programs.profile(request.route());
+		long lateAt = Long.MAX_VALUE;
+		long slackEnd = Long.MAX_VALUE;
+		if (request.programRemainingMs() != Long.MAX_VALUE) {
+			long objectiveEnd = now + Math.min(request.programRemainingMs(), MAX_TIME_MS) * NANOS_PER_MS;
+			lateAt = objectiveEnd - Math.round(profile.turnMs() * NANOS_PER_MS);
+			slackEnd = objectiveEnd - Math.round(profile.remainingMs(this.programs.turnsDone(request)) * NANOS_PER_MS);
+		}
+		double costMs = (profile.turnMs() > 0) ? profile.turnMs() : this.averageDurationMs;
+		return new QueuedRequest(request, answer, ++this.sequence, now,
+				now + Math.min(maxWaitMs(request), MAX_TIME_MS) * NANOS_PER_MS, lateAt, slackEnd, costMs);
+	}
+
+	private @Nullable RefusalReason checkNewProgram(SlotRequest request) {
+		if (request.programRemainingMs() != Long.MAX_VALUE) {
+			this.programs.profile(request.route()).recordObjective(request.programRemainingMs());
+		}
+		return this.admission.check(request, this.servers.slotCount(), this.servers.hasSpareSlots(),
+				!this.waits.isOpen(this.averageDurationMs));
+	}
+
+	private long retryAfterMs(SlotRequest request) {
+		return this.admission.retryAfterMs(request, this.servers.slotCount(), this.averageDurationMs,
+				this.nanoClock.getAsLong());
+	}
+
+	private String describe(RefusalReason refusal) {
+		String cause = switch (refusal) {
+			case SLOW_TOOLS -> "time between turns is too long for new programs";
+			case ACCOUNT_DEMAND -> "programs under way need the slots";
+			default -> "started programs wait for slots";
+		};
+		return cause + ", " + this.queue.size() + " waiting and " + this.grants.size() + " in flight";
+	}
+
+	private void refuseForWait(QueuedRequest entry, long waitMs) {
+		long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request()) : waitMs;
+		refuse(entry, RefusalReason.EXPECTED_WAIT, retryAfterMs, "expected wait of " + waitMs + " ms with "
+				+ this.queue.size() + " waiting and " + this.grants.size() + " in flight");
+	}
+
+	private void refuse(QueuedRequest entry, RefusalReason reason, long retryAfterMs, String text) {
+		this.listener.refused(reason);
+		entry.answer().accept(SlotDecision.refused(retryAfterMs, text));
+	}
+
 	// Only turns of programs have a prompt.
 	private static boolean isNewProgram(SlotRequest request) {
 		return !request.programStarted() && !request.prompt().isEmpty();
@@ -142,9 +208,8 @@
 		return Math.min(objectiveMs, request.remainingMs());
 	}
 
-	private long expectedWaitMs(QueueEntry entry) {
+	private long expectedWaitMs(int requestsAhead) {
 		long slots = this.servers.slotCount();
-		int requestsAhead = this.queue.headSet(entry).size();
 		return (slots == 0) ? Long.MAX_VALUE : Math.round((requestsAhead + 1) * this.averageDurationMs / slots);
 	}
 
@@ -153,10 +218,7 @@
 	 * @param id identifier of the request
 	 */
 	public void cancel(String id) {
-		QueueEntry entry = this.entriesById.remove(id);
-		if (entry != null) {
-			this.queue.remove(entry);
-		}
+		this.queue.remove(id);
 	}
 
 	/**
@@ -175,6 +237,7 @@
 		PoolServer server = grant.server;
 		server.release();
 		double durationMs = (now - grant.grantedAtNanos) / (double) NANOS_PER_MS;
+		this.programs.recordRelease(grant.request, (failed || units == 0) ? -1 : durationMs, now);
 		if (failed) {
 			server.avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
 		}
@@ -195,6 +258,7 @@
 		if (server != null && !this.grants.containsKey(request.id())) {
 			server.occupy(request.prompt());
 			this.grants.put(request.id(), new Grant(server, request, this.nanoClock.getAsLong()));
+			this.programs.recordGrant(request, this.nanoClock.getAsLong());
 		}
 	}
 
@@ -210,12 +274,11 @@
 			}
 		});
 		requestIds.forEach((id) -> release(id, 0, false));
-		this.entriesById.values()
-			.stream()
-			.filter((entry) -> entry.request.holder().equals(holder))
-			.map((entry) -> entry.request.id())
-			.toList()
-			.forEach(this::cancel);
+		for (QueuedRequest entry : this.queue.entries()) {
+			if (entry.request().holder().equals(holder)) {
+				cancel(entry.request().id());
+			}
+		}
 	}
 
 	/**
@@ -229,10 +292,14 @@
 			Grant grant = iterator.next();
 			if (now - grant.grantedAtNanos > (grant.request.remainingMs() + GRANT_TIMEOUT_MARGIN_MS) * NANOS_PER_MS) {
 				grant.server.release();
+				this.programs.recordRelease(grant.request, -1, now);
 				iterator.remove();
 			}
 		}
+		this.programs.expire(now);
+		this.admission.expire(now);
 		grantQueuedRequests();
+		refuseHopeless();
 	}
 
 	public int inFlight() {
@@ -244,18 +311,33 @@
 	}
 
 	private void refuseOverdue() {
+		for (QueuedRequest entry : this.queue.removeExpired(this.nanoClock.getAsLong())) {
+			long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request())
+					: Math.round(this.averageDurationMs);
+			refuse(entry, RefusalReason.WAITED, retryAfterMs, "waited too long for a slot");
+		}
+	}
+
+	// Requests that arrived later may have been placed before a request, so that its time
+	// is no longer sufficient.
+	private void refuseHopeless() {
 		long now = this.nanoClock.getAsLong();
-		List<QueueEntry> overdue = new ArrayList<>();
-		for (QueueEntry entry : this.queue) {
-			long waitedMs = (now - entry.enqueuedAtNanos) / NANOS_PER_MS;
-			if (waitedMs >= maxWaitMs(entry.request)) {
-				overdue.add(entry);
+		long slots = this.servers.slotCount();
+		Map<QueuedRequest, Long> hopeless = new LinkedHashMap<>();
+		this.queue.forEach((entry, ahead) -> {
+			double tolerance = isNewProgram(entry.request()) ? 1 : STARTED_WAIT_TOLERANCE;
+			long leftMs = (entry.expiresAtNanos() - now) / NANOS_PER_MS;
+			// The first request of the queue is waiting for the next free slot.
+			double waitMs = ahead * this.averageDurationMs / Math.max(1, slots);
+			if (waitMs > tolerance * leftMs) {
+				hopeless.put(entry, Math.round(waitMs));
 			}
-		}
-		for (QueueEntry entry : overdue) {
-			cancel(entry.request.id());
-			entry.answer.accept(SlotDecision.refused(Math.round(this.averageDurationMs), "waited too long for a slot"));
-		}
+		});
+		hopeless.forEach((entry, waitMs) -> {
+			if (this.queue.remove(entry.request().id()) != null) {
+				refuseForWait(entry, waitMs);
+			}
+		});
 	}
 
 	private @Nullable PoolServer select(SlotRequest request) {
@@ -264,30 +346,34 @@
 
 	private void grantQueuedRequests() {
 		refuseOverdue();
-		Iterator<QueueEntry> iterator = List.copyOf(this.queue).iterator();
-		while (iterator.hasNext() && this.servers.hasFreeSlot()) {
-			QueueEntry entry = iterator.next();
-			PoolServer server = select(entry.request);
-			if (server != null) {
-				cancel(entry.request.id());
-				grant(server, entry);
+		PoolServer[] selected = new PoolServer[1];
+		while (!this.queue.isEmpty() && this.servers.hasFreeSlot()) {
+			QueuedRequest entry = this.queue.poll(this.nanoClock.getAsLong(), (candidate) -> {
+				selected[0] = select(candidate.request());
+				return selected[0] != null;
+			});
+			if (entry == null) {
+				return;
 			}
+			grant(selected[0], entry);
 		}
 	}
 
-	private void grant(PoolServer server, QueueEntry entry) {
-		if (entry.request.programStarted()) {
-			this.admission.recordWait((this.nanoClock.getAsLong() - entry.enqueuedAtNanos) / (double) NANOS_PER_MS);
+	private void grant(PoolServer server, QueuedRequest entry) {
+		SlotRequest request = entry.request();
+		long now = this.nanoClock.getAsLong();
+		double waitMs = (now - entry.enqueuedAtNanos()) / (double) NANOS_PER_MS;
+		if (request.programStarted()) {
+			this.waits.recordWait(waitMs);
 		}
-		server.occupy(entry.request.prompt());
-		this.grants.put(entry.request.id(), new Grant(server, entry.request, this.nanoClock.getAsLong()));
-		entry.answer.accept(SlotDecision.granted(server.member()));
+		this.programs.recordGrant(request, now);
+		this.listener.granted(request.priority(), Math.round(waitMs));
+		server.occupy(request.prompt());
+		this.grants.put(request.id(), new Grant(server, request, now));
+		entry.answer().accept(SlotDecision.granted(server.member()));
 	}
 
 	private record Grant(PoolServer server, SlotRequest request, long grantedAtNanos) {
 	}
 
-	private record QueueEntry(SlotRequest request, Consumer<SlotDecision> answer, long enqueuedAtNanos, long sequence) {
-	}
-
 }
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
@@ -0,0 +1,233 @@
+package org.hemlockgw.core.pool;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Programs that have begun in a pool and the slots that they are expected to occupy, in
+ * total and by account. The end of a program is not announced, so a program that has not
+ * sent a turn for several usual pauses counts as ended. Not thread-safe.
+ */
+final class ProgramsUnderWay {
+
+	/** Number of usual pauses after which a program counts as ended. */
+	private static final double MAX_PAUSES = 4;
+
+	/** Shortest time in milliseconds after which a program counts as ended. */
+	private static final double MIN_IDLE_MS = 100;
+
+	/** Maximum number of routes with a profile; names come from the configuration. */
+	private static final int MAX_ROUTES = 1000;
+
+	/** Weight of a new sample; as many samples as a profile averages. */
+	private static final double COUNT_SAMPLE_WEIGHT = 0.02;
+
+	private static final double NANOS_PER_MS = 1_000_000;
+
+	// In the order of the last activity.
+	private final LinkedHashMap<String, Program> programs = new LinkedHashMap<>(16, 0.75f, true);
+
+	private final Map<String, RouteProfile> profiles = new HashMap<>();
+
+	private final Map<String, Double> demandByAccount = new HashMap<>();
+
+	private double demand;
+
+	/** Average number of programs under way at the time of a pause. */
+	private double averageCount;
+
+	/**
+	 * Returns the profile of a route.
+	 * @param route name of the route
+	 * @return its profile
+	 */
+	RouteProfile profile(String route) {
+		if (!this.profiles.containsKey(route) && this.profiles.size() >= MAX_ROUTES) {
+			this.profiles.clear();
+		}
+		return this.profiles.computeIfAbsent(route, (name) -> new RouteProfile());
+	}
+
+	/**
+	 * Records the arrival of a request of a program that has begun.
+	 * @param request the request
+	 * @param nowNanos current time
+	 */
+	void recordArrival(SlotRequest request, long nowNanos) {
+		Program program = find(request);
+		if (program != null && program.openTurns == 0) {
+			program.profile.recordPause((nowNanos - program.idleSinceNanos) / NANOS_PER_MS);
+			this.averageCount += COUNT_SAMPLE_WEIGHT * (this.programs.size() - this.averageCount);
+			program.profile.recordContinuation(program.turnsDone, true);
+			setDemand(program, program.profile.slotsPerProgram());
+		}
+	}
+
+	/**
+	 * Records that a request has received a slot.
+	 * @param request the request
+	 * @param nowNanos current time
+	 */
+	void recordGrant(SlotRequest request, long nowNanos) {
+		if (request.program().isEmpty()) {
+			return;
+		}
+		Program program = this.programs.computeIfAbsent(key(request),
+				(key) -> new Program(request.account(), profile(request.route()), nowNanos));
+		program.openTurns++;
+		setDemand(program, program.profile.slotsPerProgram());
+	}
+
+	/**
+	 * Records that a request has released its slot.
+	 * @param request the request
+	 * @param durationMs time in the slot in milliseconds; negative if it says nothing
+	 * about the route
+	 * @param nowNanos current time
+	 */
+	void recordRelease(SlotRequest request, double durationMs, long nowNanos) {
+		if (durationMs >= 0) {
+			profile(request.route()).recordTurn(durationMs);
+		}
+		Program program = find(request);
+		if (program == null || program.openTurns == 0) {
+			return;
+		}
+		program.openTurns--;
+		program.turnsDone++;
+		program.idleSinceNanos = nowNanos;
+		if (program.openTurns == 0) {
+			setDemand(program, program.profile.slotsPerProgram() * program.profile.continuation(program.turnsDone));
+		}
+	}
+
+	/**
+	 * Returns whether the time between turns has grown so much that another program of a
+	 * route would miss its objective. The pauses of a saturated pool of tools are
+	 * proportional to the number of programs, so fewer programs reopen the route.
+	 * @param profile profile of the route
+	 * @return whether pauses make programs late
+	 */
+	boolean isSlowedByPauses(RouteProfile profile) {
+		double objectiveMs = profile.objectiveMs();
+		double turnMs = profile.remainingTurns(0) * profile.turnMs();
+		double pauses = profile.remainingTurns(0) - 1;
+		if (objectiveMs == 0 || turnMs + pauses * profile.shortestPauseMs() > objectiveMs) {
+			return false;
+		}
+		double relativeCount = (this.averageCount > 0) ? (this.programs.size() + 1) / this.averageCount : 1;
+		return turnMs + pauses * profile.pauseMs() * Math.min(1, relativeCount) > objectiveMs;
+	}
+
+	/**
+	 * Removes the programs that count as ended.
+	 * @param nowNanos current time
+	 */
+	void expire(long nowNanos) {
+		Iterator<Program> iterator = this.programs.values().iterator();
+		while (iterator.hasNext()) {
+			Program program = iterator.next();
+			double idleMs = (nowNanos - program.idleSinceNanos) / NANOS_PER_MS;
+			if (program.openTurns > 0) {
+				continue;
+			}
+			if (idleMs < Math.max(MIN_IDLE_MS, MAX_PAUSES * program.profile.pauseMs())) {
+				setDemand(program, program.profile.slotsPerProgram()
+						* program.profile.continuationAfter(program.turnsDone, idleMs));
+				continue;
+			}
+			program.profile.recordContinuation(program.turnsDone, false);
+			setDemand(program, 0);
+			iterator.remove();
+		}
+	}
+
+	/**
+	 * Returns the number of turns that the program of a request has completed.
+	 * @param request the request
+	 * @return number of turns, 0 if the program is not known
+	 */
+	int turnsDone(SlotRequest request) {
+		Program program = find(request);
+		return (program != null) ? program.turnsDone : 0;
+	}
+
+	/**
+	 * Returns the average number of slots that all programs under way occupy.
+	 * @return number of slots
+	 */
+	double demand() {
+		return Math.max(0, this.demand);
+	}
+
+	/**
+	 * Returns the average number of slots that the programs of an account occupy.
+	 * @param account name of the account
+	 * @return number of slots
+	 */
+	double demand(String account) {
+		return this.demandByAccount.getOrDefault(account, 0.0);
+	}
+
+	/**
+	 * Returns the number of accounts that have programs under way.
+	 * @return number of accounts
+	 */
+	int accountCount() {
+		return this.demandByAccount.size();
+	}
+
+	/**
+	 * Returns the number of programs under way.
+	 * @return number of programs
+	 */
+	int size() {
+		return this.programs.size();
+	}
+
+	private @Nullable Program find(SlotRequest request) {
+		return request.program().isEmpty() ? null : this.programs.get(key(request));
+	}
+
+	private static String key(SlotRequest request) {
+		return request.account() + '\n' + request.program();
+	}
+
+	private void setDemand(Program program, double slots) {
+		double change = slots - program.demand;
+		program.demand = slots;
+		this.demand += change;
+		double accountDemand = this.demandByAccount.merge(program.account, change, Double::sum);
+		// Rounding leaves a small remainder after the last program of an account.
+		if (accountDemand < 1e-6) {
+			this.demandByAccount.remove(program.account);
+		}
+	}
+
+	private static final class Program {
+
+		private final String account;
+
+		private final RouteProfile profile;
+
+		private int openTurns;
+
+		private int turnsDone;
+
+		private long idleSinceNanos;
+
+		private double demand;
+
+		Program(String account, RouteProfile profile, long nowNanos) {
+			this.account = account;
+			this.profile = profile;
+			this.idleSinceNanos = nowNanos;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/org/hemlockgw/core/pool/RouteProfile.java
@@ -0,0 +1,154 @@
+package org.hemlockgw.core.pool;
+
+import java.util.Arrays;
+
+/**
+ * Learned shape of the programs of one route: time in a slot of a turn, time between two
+ * turns, and how many turns follow. Not thread-safe.
+ */
+final class RouteProfile {
+
+	/** Number of turns that are told apart; later turns count as this one. */
+	private static final int MAX_TURNS = 32;
+
+	/**
+	 * Probability that another turn follows, before the first observation; a program of 4
+	 * turns.
+	 */
+	private static final double INITIAL_CONTINUATION = 0.75;
+
+	/** Number of samples over which averages are taken. */
+	private static final int MAX_SAMPLES = 50;
+
+	private final double[] continuation = new double[MAX_TURNS];
+
+	private final int[] continuationSamples = new int[MAX_TURNS];
+
+	private final Average turnMs = new Average();
+
+	private final Average pauseMs = new Average();
+
+	private final Average objectiveMs = new Average();
+
+	private double shortestPauseMs = Double.MAX_VALUE;
+
+	RouteProfile() {
+		Arrays.fill(this.continuation, INITIAL_CONTINUATION);
+	}
+
+	void recordTurn(double durationMs) {
+		this.turnMs.add(durationMs);
+	}
+
+	void recordPause(double durationMs) {
+		this.pauseMs.add(durationMs);
+		this.shortestPauseMs = Math.min(this.shortestPauseMs, this.pauseMs.value);
+	}
+
+	/**
+	 * Records whether a program has gone on.
+	 * @param turnsDone number of turns that it had completed
+	 * @param continued whether another turn followed
+	 */
+	void recordContinuation(int turnsDone, boolean continued) {
+		int i = Math.min(turnsDone, MAX_TURNS - 1);
+		this.continuationSamples[i] = Math.min(this.continuationSamples[i] + 1, MAX_SAMPLES);
+		this.continuation[i] += ((continued ? 1 : 0) - this.continuation[i]) / this.continuationSamples[i];
+	}
+
+	double continuation(int turnsDone) {
+		return this.continuation[Math.min(turnsDone, MAX_TURNS - 1)];
+	}
+
+	/**
+	 * Returns the probability that another turn follows after some time without one.
+	 * @param turnsDone number of turns that the program has completed
+	 * @param idleMs time since the last one in milliseconds
+	 * @return probability for exponentially distributed pauses
+	 */
+	double continuationAfter(int turnsDone, double idleMs) {
+		double probability = continuation(turnsDone);
+		double waiting = probability * Math.exp(-idleMs / Math.max(1, this.pauseMs.value));
+		return waiting / (waiting + 1 - probability + Double.MIN_NORMAL);
+	}
+
+	/**
+	 * Returns the expected number of turns that a program still runs.
+	 * @param turnsDone number of turns that it has completed; another one is about to run
+	 * @return number of turns, at least 1
+	 */
+	double remainingTurns(int turnsDone) {
+		double turns = 1;
+		double probability = 1;
+		for (int i = turnsDone + 1; i < MAX_TURNS; i++) {
+			probability *= this.continuation[i];
+			turns += probability;
+		}
+		return turns;
+	}
+
+	/**
+	 * Returns the expected time until a program is complete if it never waits.
+	 * @param turnsDone number of turns that it has completed; another one is about to run
+	 * @return time in milliseconds; 0 before the first observation
+	 */
+	double remainingMs(int turnsDone) {
+		double turns = remainingTurns(turnsDone);
+		return turns * this.turnMs.value + (turns - 1) * this.pauseMs.value;
+	}
+
+	/**
+	 * Returns the average number of slots that a program under way occupies.
+	 * @return number between 0 and 1
+	 */
+	double slotsPerProgram() {
+		double cycleMs = this.turnMs.value + this.pauseMs.value;
+		return (cycleMs == 0) ? 1 : this.turnMs.value / cycleMs;
+	}
+
+	/**
+	 * Records the objective of a program at its first request.
+	 * @param durationMs time in milliseconds until the program is late
+	 */
+	void recordObjective(long durationMs) {
+		this.objectiveMs.add(durationMs);
+	}
+
+	/**
+	 * Returns the average objective of whole programs.
+	 * @return time in milliseconds; 0 if they have none
+	 */
+	double objectiveMs() {
+		return this.objectiveMs.value;
+	}
+
+	double turnMs() {
+		return this.turnMs.value;
+	}
+
+	double pauseMs() {
+		return this.pauseMs.value;
+	}
+
+	/**
+	 * Returns the shortest average time between turns that was observed.
+	 * @return time in milliseconds; 0 before the first observation
+	 */
+	double shortestPauseMs() {
+		return (this.shortestPauseMs == Double.MAX_VALUE) ? 0 : this.shortestPauseMs;
+	}
+
+	private static final class Average {
+
+		private double value;
+
+		private int samples;
+
+		void add(double sample) {
+			this.samples = Math.min(this.samples + 1, MAX_SAMPLES);
+			this.value += (sample - this.value) / this.samples;
+		}
+
+	}
+
+}
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
@@ -11,6 +11,8 @@
  * @param account name of the client account; empty for none
  * @param session identifier of the session whose requests share a prompt prefix or state;
  * empty for none
+ * @param route name of the route; empty for none
+ * @param program identifier of the program within the account; empty for none
  * @param priority priority of the request; 0 is the highest
  * @param programStarted whether the program has already run a turn
  * @param programRemainingMs time in milliseconds until the whole program is late;
@@ -22,7 +24,31 @@
  * @param excluded servers that have already failed this request
  * @param connected servers to which the daemon has an idle connection
  */
-public record SlotRequest(String id, String holder, String account, String session, int priority,
-		boolean programStarted, long programRemainingMs, long objectiveMs, long remainingMs, List<PromptPart> prompt,
-		int maxTokens, Set<String> excluded, Set<String> connected) {
+public record SlotRequest(String id, String holder, String account, String session, String route, String program,
+		int priority, boolean programStarted, long programRemainingMs, long objectiveMs, long remainingMs,
+		List<PromptPart> prompt, int maxTokens, Set<String> excluded, Set<String> connected) {
+
+	/**
+	 * Creates a request without a route and a program.
+	 * @param id identifier of the caller's attempt
+	 * @param holder daemon that will use the slot
+	 * @param account name of the client account
+	 * @param session identifier of the session
+	 * @param priority priority of the request
+	 * @param programStarted whether the program has already run a turn
+	 * @param programRemainingMs time in milliseconds until the whole program is late
+	 * @param objectiveMs latency objective of the request in milliseconds
+	 * @param remainingMs time until the caller's deadline in milliseconds
+	 * @param prompt parts of the prompt in order
+	 * @param maxTokens maximum number of tokens that the response contains
+	 * @param excluded servers that have already failed this request
+	 * @param connected servers to which the daemon has an idle connection
+	 */
+	public SlotRequest(String id, String holder, String account, String session, int priority, boolean programStarted,
+			long programRemainingMs, long objectiveMs, long remainingMs, List<PromptPart> prompt, int maxTokens,
+			Set<String> excluded, Set<String> connected) {
+		this(id, holder, account, session, "", "", priority, programStarted, programRemainingMs, objectiveMs,
+				remainingMs, prompt, maxTokens, excluded, connected);
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.gateway.entry;
 
 import java.util.HashSet;
+import java.util.Objects;
 import java.util.Set;
 
 import io.netty.buffer.ByteBuf;
@@ -125,10 +126,11 @@
 			return;
 		}
 		SlotRequest slotRequest = new SlotRequest(this.callerRequest.id(), this.services.membership().self().text(), "",
-				this.callerRequest.session(), this.route.priority(), this.programStarted,
-				this.callerRequest.programRemainingMs(this.deadline), this.route.objective().toMillis(), remainingMs,
-				this.callerRequest.prompt(), this.callerRequest.maxTokens(), Set.copyOf(this.excludedServers),
-				connectedServers());
+				this.callerRequest.session(), this.route.name(),
+				Objects.requireNonNullElse(this.callerRequest.program(), ""), this.route.priority(),
+				this.programStarted, this.callerRequest.programRemainingMs(this.deadline),
+				this.route.objective().toMillis(), remainingMs, this.callerRequest.prompt(),
+				this.callerRequest.maxTokens(), Set.copyOf(this.excludedServers), connectedServers());
 		this.log.slotRequested();
 		this.slot = this.services.slotClient().acquire(this.pool, slotRequest, this::handleSlotAnswer);
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/FieldCodec.java
@@ -66,7 +66,8 @@
 
 	static void writeSlotRequest(MessagePacker out, SlotRequest request) throws IOException {
 		out.packString(request.id()).packString(request.holder());
-		out.packString(request.account()).packString(request.session()).packInt(request.priority());
+		out.packString(request.account()).packString(request.session());
+		out.packString(request.route()).packString(request.program()).packInt(request.priority());
 		out.packBoolean(request.programStarted()).packLong(request.programRemainingMs());
 		out.packLong(request.objectiveMs()).packLong(request.remainingMs());
 		out.packArrayHeader(request.prompt().size());
@@ -98,6 +99,8 @@
 		String holder = in.unpackString();
 		String account = in.unpackString();
 		String session = in.unpackString();
+		String route = in.unpackString();
+		String program = in.unpackString();
 		int priority = in.unpackInt();
 		boolean programStarted = in.unpackBoolean();
 		long programRemainingMs = in.unpackLong();
@@ -107,8 +110,8 @@
 		for (int remaining = in.unpackArrayHeader(); remaining > 0; remaining--) {
 			prompt.add(new PromptPart(in.unpackString(), in.unpackInt()));
 		}
-		return new SlotRequest(id, holder, account, session, priority, programStarted, programRemainingMs, objectiveMs,
-				remainingMs, prompt, in.unpackInt(), readStrings(in), readStrings(in));
+		return new SlotRequest(id, holder, account, session, route, program, priority, programStarted,
+				programRemainingMs, objectiveMs, remainingMs, prompt, in.unpackInt(), readStrings(in), readStrings(in));
 	}
 
 	static void writeSlotAnswer(MessagePacker out, @Nullable SlotDecision answer) throws IOException {
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerCodecTests.java
@@ -32,8 +32,8 @@
 	private static final TurnRecord TURN = new TurnRecord("t1", "p1", "t0", new byte[] { 1, 2 }, new byte[] { 3 },
 			Instant.ofEpochMilli(123_456), Duration.ofSeconds(60));
 
-	private static final SlotRequest REQUEST = new SlotRequest("r1", "d1", "acme", "s-1", 1, true, -40, 250, 3000,
-			List.of(new PromptPart("ab", 512)), 80, Set.of("s1"), Set.of("s4"));
+	private static final SlotRequest REQUEST = new SlotRequest("r1", "d1", "acme", "s-1", "chat", "p1", 1, true, -40,
+			250, 3000, List.of(new PromptPart("ab", 512)), 80, Set.of("s1"), Set.of("s4"));
 
 	static Stream<PeerMessage> messages() {
 		return Stream.of(new PeerMessage.Hello("d1"),
