--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -355,7 +355,11 @@
 			if (entry == null) {
 				return;
 			}
-			grant(selected[0], entry);
+			// The last candidate that was tried may have been another one.
+			PoolServer server = (selected[0] != null) ? selected[0] : select(entry.request());
+			if (server != null) {
+				grant(server, entry);
+			}
 		}
 	}
 
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
@@ -11,16 +11,10 @@
 final class ProgramAdmissionPolicy {
 
 	/**
-	 * Slots that one account may use for each slot that is left (dynamic threshold). An
-	 * account alone reaches 8/9 of the limit.
+	 * Slots that one account may use for each slot that is left (dynamic threshold). With
+	 * 8, a flood left so little that the others' less urgent programs became late.
 	 */
-	private static final double SHARE_OF_REST = 8;
-
-	/**
-	 * Limit of the expected demand as a multiple of the slots; an account alone then uses
-	 * all slots, and an eighth remains for the others' programs to begin.
-	 */
-	private static final double MAX_DEMAND = 1 + 1 / SHARE_OF_REST;
+	private static final double SHARE_OF_REST = 2;
 
 	private final ProgramsUnderWay programs;
 
@@ -41,7 +35,7 @@
 	@Nullable RefusalReason check(SlotRequest request, long slots, boolean spare, boolean startedWait) {
 		this.returns.remove(request);
 		RouteProfile profile = this.programs.profile(request.route());
-		if (this.programs.isSlowedByPauses(profile)) {
+		if (profile.isSlowedByPauses()) {
 			return RefusalReason.SLOW_TOOLS;
 		}
 		if (spare) {
@@ -57,7 +51,10 @@
 			return withinShare ? null : RefusalReason.STARTED_PROGRAMS_WAIT;
 		}
 		double returning = this.returns.count(request.account(), request.priority()) * need;
-		double rest = MAX_DEMAND * slots - this.programs.demand() - returning;
+		// The limit at which accounts that all flood use exactly all slots together.
+		int accounts = Math.max(1, this.programs.accountCount());
+		double limit = slots * (1 + 1 / (SHARE_OF_REST * accounts));
+		double rest = limit - this.programs.demand() - returning;
 		boolean fits = accountDemand + returning <= SHARE_OF_REST * rest;
 		return fits ? null : RefusalReason.ACCOUNT_DEMAND;
 	}
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
@@ -23,9 +23,6 @@
 	/** Maximum number of routes with a profile; names come from the configuration. */
 	private static final int MAX_ROUTES = 1000;
 
-	/** Weight of a new sample; as many samples as a profile averages. */
-	private static final double COUNT_SAMPLE_WEIGHT = 0.02;
-
 	private static final double NANOS_PER_MS = 1_000_000;
 
 	// In the order of the last activity.
@@ -37,9 +34,6 @@
 
 	private double demand;
 
-	/** Average number of programs under way at the time of a pause. */
-	private double averageCount;
-
 	/**
 	 * Returns the profile of a route.
 	 * @param route name of the route
@@ -61,7 +55,6 @@
 		Program program = find(request);
 		if (program != null && program.openTurns == 0) {
 			program.profile.recordPause((nowNanos - program.idleSinceNanos) / NANOS_PER_MS);
-			this.averageCount += COUNT_SAMPLE_WEIGHT * (this.programs.size() - this.averageCount);
 			program.profile.recordContinuation(program.turnsDone, true);
 			setDemand(program, program.profile.slotsPerProgram());
 		}
@@ -79,6 +72,9 @@
 		Program program = this.programs.computeIfAbsent(key(request),
 				(key) -> new Program(request.account(), profile(request.route()), nowNanos));
 		program.openTurns++;
+		if (request.programRemainingMs() != Long.MAX_VALUE) {
+			program.objectiveEndNanos = nowNanos + Math.round(request.programRemainingMs() * NANOS_PER_MS);
+		}
 		setDemand(program, program.profile.slotsPerProgram());
 	}
 
@@ -105,24 +101,6 @@
 		}
 	}
 
-	/**
-	 * Returns whether the time between turns has grown so much that another program of a
-	 * route would miss its objective. The pauses of a saturated pool of tools are
-	 * proportional to the number of programs, so fewer programs reopen the route.
-	 * @param profile profile of the route
-	 * @return whether pauses make programs late
-	 */
-	boolean isSlowedByPauses(RouteProfile profile) {
-		double objectiveMs = profile.objectiveMs();
-		double turnMs = profile.remainingTurns(0) * profile.turnMs();
-		double pauses = profile.remainingTurns(0) - 1;
-		if (objectiveMs == 0 || turnMs + pauses * profile.shortestPauseMs() > objectiveMs) {
-			return false;
-		}
-		double relativeCount = (this.averageCount > 0) ? (this.programs.size() + 1) / this.averageCount : 1;
-		return turnMs + pauses * profile.pauseMs() * Math.min(1, relativeCount) > objectiveMs;
-	}
-
 	/**
 	 * Removes the programs that count as ended.
 	 * @param nowNanos current time
@@ -140,9 +118,12 @@
 						* program.profile.continuationAfter(program.turnsDone, idleMs));
 				continue;
 			}
-			program.profile.recordContinuation(program.turnsDone, false);
 			setDemand(program, 0);
-			iterator.remove();
+			// It may wait for a slow tool until its objective has passed.
+			if (nowNanos - program.objectiveEndNanos >= 0) {
+				program.profile.recordContinuation(program.turnsDone, false);
+				iterator.remove();
+			}
 		}
 	}
 
@@ -181,14 +162,6 @@
 		return this.demandByAccount.size();
 	}
 
-	/**
-	 * Returns the number of programs under way.
-	 * @return number of programs
-	 */
-	int size() {
-		return this.programs.size();
-	}
-
 	private @Nullable Program find(SlotRequest request) {
 		return request.program().isEmpty() ? null : this.programs.get(key(request));
 	}
@@ -199,6 +172,7 @@
 
 	private void setDemand(Program program, double slots) {
 		double change = slots - program.demand;
+		program.profile.changeActivePrograms(((slots > 0) ? 1 : 0) - ((program.demand > 0) ? 1 : 0));
 		program.demand = slots;
 		this.demand += change;
 		double accountDemand = this.demandByAccount.merge(program.account, change, Double::sum);
@@ -220,12 +194,15 @@
 
 		private long idleSinceNanos;
 
+		private long objectiveEndNanos;
+
 		private double demand;
 
 		Program(String account, RouteProfile profile, long nowNanos) {
 			this.account = account;
 			this.profile = profile;
 			this.idleSinceNanos = nowNanos;
+			this.objectiveEndNanos = nowNanos;
 		}
 
 	}
--- a/core/src/main/java/org/hemlockgw/core/pool/RouteProfile.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/RouteProfile.java
@@ -20,15 +20,42 @@
 	/** Number of samples over which averages are taken. */
 	private static final int MAX_SAMPLES = 50;
 
+	/**
+	 * Number of pauses over which their average is taken. It is smaller because few
+	 * programs are left to show that slow tools have recovered.
+	 */
+	private static final int MAX_PAUSE_SAMPLES = 20;
+
+	/**
+	 * Number of latest pauses that must be long as well, so that programs are taken again
+	 * soon after the tools have recovered.
+	 */
+	private static final int LATEST_PAUSES = 4;
+
+	/**
+	 * Number of programs that must have ended before their length can be compared with
+	 * their objective; the first programs to be observed go on, because ends are noticed
+	 * later.
+	 */
+	private static final int MIN_ENDED = 20;
+
 	private final double[] continuation = new double[MAX_TURNS];
 
 	private final int[] continuationSamples = new int[MAX_TURNS];
 
-	private final Average turnMs = new Average();
+	private final Average turnMs = new Average(MAX_SAMPLES);
+
+	private final Average pauseMs = new Average(MAX_PAUSE_SAMPLES);
+
+	private final Average latestPauseMs = new Average(LATEST_PAUSES);
+
+	private final Average activeAtPause = new Average(MAX_PAUSE_SAMPLES);
+
+	private int activePrograms;
 
-	private final Average pauseMs = new Average();
+	private long endedPrograms;
 
-	private final Average objectiveMs = new Average();
+	private final Average objectiveMs = new Average(MAX_SAMPLES);
 
 	private double shortestPauseMs = Double.MAX_VALUE;
 
@@ -42,7 +69,11 @@
 
 	void recordPause(double durationMs) {
 		this.pauseMs.add(durationMs);
-		this.shortestPauseMs = Math.min(this.shortestPauseMs, this.pauseMs.value);
+		this.latestPauseMs.add(durationMs);
+		this.activeAtPause.add(this.activePrograms);
+		if (this.pauseMs.samples == MAX_PAUSE_SAMPLES) {
+			this.shortestPauseMs = Math.min(this.shortestPauseMs, this.pauseMs.value);
+		}
 	}
 
 	/**
@@ -52,6 +83,7 @@
 	 */
 	void recordContinuation(int turnsDone, boolean continued) {
 		int i = Math.min(turnsDone, MAX_TURNS - 1);
+		this.endedPrograms += continued ? 0 : 1;
 		this.continuationSamples[i] = Math.min(this.continuationSamples[i] + 1, MAX_SAMPLES);
 		this.continuation[i] += ((continued ? 1 : 0) - this.continuation[i]) / this.continuationSamples[i];
 	}
@@ -114,14 +146,6 @@
 		this.objectiveMs.add(durationMs);
 	}
 
-	/**
-	 * Returns the average objective of whole programs.
-	 * @return time in milliseconds; 0 if they have none
-	 */
-	double objectiveMs() {
-		return this.objectiveMs.value;
-	}
-
 	double turnMs() {
 		return this.turnMs.value;
 	}
@@ -130,22 +154,45 @@
 		return this.pauseMs.value;
 	}
 
+	void changeActivePrograms(int change) {
+		this.activePrograms += change;
+	}
+
 	/**
-	 * Returns the shortest average time between turns that was observed.
-	 * @return time in milliseconds; 0 before the first observation
+	 * Returns whether the time between turns has grown so much that another program would
+	 * miss its objective. The pauses of a saturated pool of tools are proportional to the
+	 * number of programs, so fewer programs reopen the route.
+	 * @return whether pauses make programs late
 	 */
-	double shortestPauseMs() {
-		return (this.shortestPauseMs == Double.MAX_VALUE) ? 0 : this.shortestPauseMs;
+	boolean isSlowedByPauses() {
+		if (this.pauseMs.samples < MAX_PAUSE_SAMPLES || this.endedPrograms < MIN_ENDED
+				|| this.objectiveMs.samples == 0) {
+			return false;
+		}
+		double turns = remainingTurns(0);
+		double availableMs = this.objectiveMs.value - turns * this.turnMs.value;
+		if ((turns - 1) * this.shortestPauseMs > availableMs) {
+			return false;
+		}
+		double relativeCount = (this.activePrograms + 1) / Math.max(1, this.activeAtPause.value);
+		double currentPauseMs = Math.min(this.pauseMs.value, this.latestPauseMs.value);
+		return (turns - 1) * currentPauseMs * Math.min(1, relativeCount) > availableMs;
 	}
 
 	private static final class Average {
 
+		private final int maxSamples;
+
 		private double value;
 
 		private int samples;
 
+		Average(int maxSamples) {
+			this.maxSamples = maxSamples;
+		}
+
 		void add(double sample) {
-			this.samples = Math.min(this.samples + 1, MAX_SAMPLES);
+			this.samples = Math.min(this.samples + 1, this.maxSamples);
 			this.value += (sample - this.value) / this.samples;
 		}
 
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotQueue.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotQueue.java
@@ -20,6 +20,13 @@
  */
 final class SlotQueue {
 
+	/**
+	 * Number of grants after which a late request of a started program is served before
+	 * others of its priority. Without it, late requests were held until their deadline
+	 * while a pool was overloaded.
+	 */
+	private static final int GRANTS_PER_LATE_REQUEST = 8;
+
 	private static final Comparator<QueuedRequest> BY_SEQUENCE = Comparator.comparingLong(QueuedRequest::sequence);
 
 	private final TreeMap<Level, AccountFairQueue> levels = new TreeMap<>();
@@ -35,6 +42,8 @@
 	private final TreeSet<QueuedRequest> byLateTime = new TreeSet<>(
 			Comparator.comparingLong(QueuedRequest::lateAtNanos).thenComparing(BY_SEQUENCE));
 
+	private int grantsBeforeLate;
+
 	void add(QueuedRequest entry, long nowNanos) {
 		remove(entry.request().id());
 		this.byId.put(entry.request().id(), entry);
@@ -91,12 +100,32 @@
 	 */
 	@Nullable QueuedRequest poll(long nowNanos, Predicate<QueuedRequest> eligible) {
 		moveLate(nowNanos);
-		for (AccountFairQueue queue : this.levels.values()) {
-			QueuedRequest entry = queue.first(eligible);
+		QueuedRequest entry = firstEligible((level) -> true, eligible);
+		if (entry != null && this.grantsBeforeLate >= GRANTS_PER_LATE_REQUEST) {
+			int priority = entry.request().priority();
+			QueuedRequest late = firstEligible(
+					(level) -> level.late() && !level.newProgram() && level.priority() <= priority, eligible);
+			entry = (late != null) ? late : entry;
+		}
+		if (entry != null) {
+			boolean passed = !isLate(entry) && this.levels.keySet().stream().anyMatch(Level::late);
+			this.grantsBeforeLate = passed ? this.grantsBeforeLate + 1 : 0;
+			this.byId.remove(entry.request().id());
+			this.byExpiry.remove(entry);
+			removeFromLevel(entry, true);
+		}
+		return entry;
+	}
+
+	private boolean isLate(QueuedRequest entry) {
+		Level level = this.levelsById.get(entry.request().id());
+		return level != null && level.late();
+	}
+
+	private @Nullable QueuedRequest firstEligible(Predicate<Level> condition, Predicate<QueuedRequest> eligible) {
+		for (Map.Entry<Level, AccountFairQueue> level : this.levels.entrySet()) {
+			QueuedRequest entry = condition.test(level.getKey()) ? level.getValue().first(eligible) : null;
 			if (entry != null) {
-				this.byId.remove(entry.request().id());
-				this.byExpiry.remove(entry);
-				removeFromLevel(entry, true);
 				return entry;
 			}
 		}
