--- a/experiment/src/main/java/org/hemlockgw/experiment/Main.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/Main.java
@@ -4,6 +4,7 @@
 import picocli.CommandLine.Command;
 
 import org.hemlockgw.experiment.capacity.CapacityCommand;
+import org.hemlockgw.experiment.placement.PlacementCommand;
 import org.hemlockgw.experiment.policy.PolicyCommand;
 import org.hemlockgw.experiment.policy.RankingCommand;
 
@@ -11,7 +12,7 @@
  * Entry point of the load tool and the measurements.
  */
 @Command(name = "experiment", mixinStandardHelpOptions = true,
-		subcommands = { CapacityCommand.class, PolicyCommand.class, RankingCommand.class },
+		subcommands = { CapacityCommand.class, PlacementCommand.class, PolicyCommand.class, RankingCommand.class },
 		description = "Measurements of hemlockgw.")
 public final class Main {
 
