--- a/core/src/main/java/org/hemlockgw/core/pool/PoolServer.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolServer.java
@@ -15,16 +15,22 @@
 final class PoolServer {
 
 	/**
-	 * Fraction by which requests on a full server take longer than on an idle one. It
-	 * corresponds to the growth of a batched decode step.
+	 * Fraction by which each further request makes a step longer. It corresponds to the
+	 * growth of a batched decode step; it isn't relative to the slots, because servers of
+	 * different sizes would then seem to have different speeds.
 	 */
-	private static final double FULL_LOAD_SLOWDOWN = 0.25;
+	private static final double SLOWDOWN_PER_REQUEST = 0.03;
 
 	/**
-	 * Step of the weight's logarithm. Shares follow the weight, so that it is smaller
-	 * than the deviation of shares that is visible in practice.
+	 * Step of the weight's logarithm, the deviation of shares that is allowed.
 	 */
-	private static final double WEIGHT_STEP = Math.log(1.08);
+	private static final double WEIGHT_STEP = Math.log(1.05);
+
+	/**
+	 * Number of steps by which the speed must differ to change the weight; about four
+	 * times the error of the median.
+	 */
+	private static final double WEIGHT_HYSTERESIS = 2.5;
 
 	private final PromptCache cache = new PromptCache();
 
@@ -154,18 +160,18 @@
 		return loadFactor(inFlight() + 1);
 	}
 
-	private double loadFactor(int batch) {
-		return 1 + FULL_LOAD_SLOWDOWN * (batch - 1) / Math.max(1, this.member.slots());
+	private static double loadFactor(int batch) {
+		return 1 + SLOWDOWN_PER_REQUEST * (batch - 1);
 	}
 
 	/**
 	 * Updates the weight with the learned speed. The speed is rounded to steps and
-	 * changes only by more than one step, so that noise doesn't move sessions.
+	 * changes only by more than the hysteresis, so that noise doesn't move sessions.
 	 * @param relativeSpeed speed relative to the pool; NaN if unknown
 	 */
 	void updateSpeedStep(double relativeSpeed) {
 		double step = Double.isNaN(relativeSpeed) ? 0 : Math.log(relativeSpeed) / WEIGHT_STEP;
-		if (Math.abs(step - this.speedStep) > 1) {
+		if (Math.abs(step - this.speedStep) > WEIGHT_HYSTERESIS) {
 			this.speedStep = Math.rint(step);
 		}
 	}
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolSpeed.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolSpeed.java
@@ -51,11 +51,11 @@
 			return false;
 		}
 		this.refreshedNanos = nowNanos;
-		servers.forEach((server) -> server.speed().refresh(nowNanos));
+		servers.forEach((server) -> server.speed().refresh(this.stepMs, nowNanos));
 		this.stepMs = median(servers.stream().mapToDouble((server) -> server.speed().medianStepMs()).toArray());
 		double prefill = median(servers.stream().mapToDouble((server) -> server.speed().prefillMs()).toArray());
 		this.prefillMs = Double.isNaN(prefill) ? this.prefillMs : prefill;
-		servers.forEach((server) -> server.updateSpeedStep(this.stepMs / server.speed().medianStepMs()));
+		servers.forEach((server) -> server.updateSpeedStep(this.stepMs / server.speed().usualStepMs()));
 		return true;
 	}
 
--- a/core/src/main/java/org/hemlockgw/core/pool/SampleWindow.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SampleWindow.java
@@ -8,16 +8,19 @@
 final class SampleWindow {
 
 	/**
-	 * Maximum number of samples. The median of 64 samples with a deviation of 30 percent
-	 * has a standard error of 5 percent.
+	 * Maximum number of samples. The median of 128 samples with a deviation of 30 percent
+	 * has a standard error of 3 percent.
 	 */
-	private static final int MAX_SAMPLES = 64;
+	private static final int MAX_SAMPLES = 128;
 
 	/**
 	 * Age in nanoseconds from which samples are ignored; longer than the spells in which
 	 * a server is temporarily slow.
 	 */
-	private static final long MAX_AGE_NANOS = 30_000_000_000L;
+	private static final long MAX_AGE_NANOS = 60_000_000_000L;
+
+	/** Number of samples below which the median may come from a single slow spell. */
+	private static final int MIN_SAMPLES = 8;
 
 	private final double[] values = new double[MAX_SAMPLES];
 
@@ -37,7 +40,7 @@
 	/**
 	 * Returns the median of the samples.
 	 * @param nowNanos current time
-	 * @return the median; NaN without recent samples
+	 * @return the median; NaN with too few recent samples
 	 */
 	double median(long nowNanos) {
 		double[] recent = new double[this.count];
@@ -47,7 +50,7 @@
 				recent[size++] = this.values[i];
 			}
 		}
-		if (size == 0) {
+		if (size < MIN_SAMPLES) {
 			return Double.NaN;
 		}
 		Arrays.sort(recent, 0, size);
--- a/core/src/main/java/org/hemlockgw/core/pool/ServerChoice.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ServerChoice.java
@@ -30,13 +30,14 @@
 	private static final double KEEP_MARGIN = 0.25;
 
 	/**
-	 * Time that other requests at the server lose by each millisecond of reading a
-	 * prompt, as a fraction for each of them. Reading is interleaved with their steps.
+	 * Time that each other request at the server loses by a millisecond of reading a
+	 * prompt, which is interleaved with their steps. With 0.2 instead of 1 twice as many
+	 * tokens were read again and fewer programs ended in time (docs/policy.md).
 	 */
-	private static final double PREFILL_INTERFERENCE = 0.2;
+	private static final double PREFILL_INTERFERENCE = 1;
 
 	/** Extra cost of a server for its requests above its share, as a factor. */
-	private static final double EXCESS_COST = 2;
+	private static final double EXCESS_COST = 6;
 
 	/** Maximum extra cost, so that shares never outweigh a much faster response. */
 	private static final double MAX_EXCESS_COST = 0.3;
@@ -104,7 +105,8 @@
 		refresh(servers, nowNanos);
 		String key = SessionDirectory.key(request);
 		SessionPlacement session = this.sessions.find(key);
-		long neededTokens = PoolServer.countTokens(request.prompt()) + Math.max(0, request.maxTokens());
+		long promptTokens = PoolServer.countTokens(request.prompt());
+		long neededTokens = promptTokens + Math.max(0, request.maxTokens());
 		double units = this.poolSpeed.expectedUnits(request);
 		double lowest = Double.MAX_VALUE;
 		double homeCost = Double.MAX_VALUE;
@@ -117,7 +119,7 @@
 				continue;
 			}
 			boolean own = session != null && session.server().equals(server.member().id());
-			double cost = expectedMs(server, request, own, units, averageDurationMs);
+			double cost = expectedMs(server, request, own, units, promptTokens, averageDurationMs);
 			if (server.isAvoided(nowNanos)) {
 				cost += AVOIDED_COST * averageDurationMs;
 			}
@@ -169,7 +171,7 @@
 		return (excess <= 0) ? 0 : Math.min(MAX_EXCESS_COST, EXCESS_COST * excess);
 	}
 
-	private double expectedMs(PoolServer server, SlotRequest request, boolean own, double units,
+	private double expectedMs(PoolServer server, SlotRequest request, boolean own, double units, long promptTokens,
 			double averageDurationMs) {
 		ServerSpeed speed = server.speed();
 		double stepMs = Double.isNaN(speed.stepMs()) ? this.poolSpeed.stepMs() : speed.stepMs();
@@ -179,7 +181,7 @@
 			return generationMs * (own ? 1 - this.poolSpeed.affinityGain() : 1) + connectMs;
 		}
 		double prefillMs = Double.isNaN(speed.prefillMs()) ? this.poolSpeed.prefillMs() : speed.prefillMs();
-		double readingMs = server.uncachedTokens(request.prompt()) * prefillMs;
+		double readingMs = (promptTokens - server.cachedTokens(request.prompt())) * prefillMs;
 		return generationMs + readingMs * (1 + PREFILL_INTERFERENCE * server.inFlight()) + connectMs;
 	}
 
--- a/core/src/main/java/org/hemlockgw/core/pool/ServerSpeed.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ServerSpeed.java
@@ -22,6 +22,13 @@
 	 */
 	private static final long MIN_PREFILL_TOKENS = 256;
 
+	/**
+	 * Time in milliseconds in which the difference from the pool's speed halves without
+	 * new samples. A server whose samples all come from a slow spell was never tried
+	 * again without it.
+	 */
+	private static final double DIFFERENCE_HALF_LIFE_MS = 5000;
+
 	private static final double MICROS_PER_MS = 1000;
 
 	private static final double NANOS_PER_MS = 1_000_000;
@@ -36,6 +43,8 @@
 
 	private double medianStepMs = Double.NaN;
 
+	private double usualStepMs = Double.NaN;
+
 	private double prefillMs = Double.NaN;
 
 	private double stepMs = Double.NaN;
@@ -75,25 +84,37 @@
 		this.steps.add(sampleMs, nowNanos);
 		double previous = this.recentStepMs;
 		if (!Double.isNaN(previous) && !Double.isNaN(this.medianStepMs)) {
-			previous = this.medianStepMs + (previous - this.medianStepMs) * decay(nowNanos);
+			previous = this.medianStepMs + (previous - this.medianStepMs) * decay(nowNanos, DEVIATION_HALF_LIFE_MS);
 		}
 		this.recentStepMs = Double.isNaN(previous) ? sampleMs : previous + SAMPLE_WEIGHT * (sampleMs - previous);
 		this.sampledNanos = nowNanos;
 		this.stepMs = this.recentStepMs;
 	}
 
-	private double decay(long nowNanos) {
-		return Math.pow(0.5, (nowNanos - this.sampledNanos) / NANOS_PER_MS / DEVIATION_HALF_LIFE_MS);
+	private double decay(long nowNanos, double halfLifeMs) {
+		return Math.pow(0.5, (nowNanos - this.sampledNanos) / NANOS_PER_MS / halfLifeMs);
 	}
 
 	/**
 	 * Recomputes the estimates, which costs too much to be done for each decision.
+	 * @param poolStepMs usual time for one unit in the pool; NaN if unknown
 	 * @param nowNanos current time
 	 */
-	void refresh(long nowNanos) {
+	void refresh(double poolStepMs, long nowNanos) {
 		this.medianStepMs = this.steps.median(nowNanos);
 		this.prefillMs = this.prefills.median(nowNanos);
-		this.stepMs = this.medianStepMs + (this.recentStepMs - this.medianStepMs) * decay(nowNanos);
+		double usualMs = this.medianStepMs;
+		if (Double.isNaN(usualMs)) {
+			usualMs = poolStepMs;
+		}
+		else if (!Double.isNaN(poolStepMs)) {
+			usualMs = poolStepMs + (usualMs - poolStepMs) * decay(nowNanos, DIFFERENCE_HALF_LIFE_MS);
+		}
+		this.usualStepMs = usualMs;
+		this.stepMs = this.recentStepMs;
+		if (!Double.isNaN(usualMs)) {
+			this.stepMs = usualMs + (this.recentStepMs - usualMs) * decay(nowNanos, DEVIATION_HALF_LIFE_MS);
+		}
 	}
 
 	/**
@@ -112,6 +133,15 @@
 		return this.medianStepMs;
 	}
 
+	/**
+	 * Returns the usual time for one unit of a response on an idle server, which
+	 * approaches the pool's while there are no samples.
+	 * @return time in milliseconds; NaN if unknown
+	 */
+	double usualStepMs() {
+		return this.usualStepMs;
+	}
+
 	/**
 	 * Returns the time for reading one prompt token.
 	 * @return time in milliseconds; NaN if unknown
--- a/experiment/src/main/java/org/hemlockgw/experiment/placement/HashComparison.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/placement/HashComparison.java
@@ -22,7 +22,7 @@
 
 	private static final int VIRTUAL_NODES = 100;
 
-	/** Slots of a table for each server, rounded up to a prime number. */
+	/** Slots of a table for each server, before rounding up. */
 	private static final int TABLE_FACTOR = 100;
 
 	private HashComparison() {
@@ -136,7 +136,8 @@
 		// Each server in turn takes the next free slot of its own permutation, as in
 		// Eisenbud et al., "Maglev" (2016).
 		private static int[] fillTable(int[] nodes) {
-			int size = BigInteger.valueOf((long) TABLE_FACTOR * nodes[nodes.length - 1] + TABLE_FACTOR)
+			// The size must stay the same when a server is added or removed.
+			int size = BigInteger.valueOf((long) TABLE_FACTOR * 2 * Integer.highestOneBit(nodes.length + 1))
 				.nextProbablePrime()
 				.intValue();
 			int[] table = new int[size];
