--- a/gateway/src/main/java/org/hemlockgw/gateway/CurrentConfiguration.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/CurrentConfiguration.java
@@ -59,6 +59,8 @@
 
 	private final Metrics metrics;
 
+	private final Consumer<RoutingTable> onApplied;
+
 	private @Nullable ConfigurationSource source;
 
 	private @Nullable RoutingTable table;
@@ -68,12 +70,13 @@
 	private boolean proofMissing;
 
 	CurrentConfiguration(EventLoop loop, ConfigurationProof proof, Membership membership, PeerLinks peerLinks,
-			Metrics metrics) {
+			Metrics metrics, Consumer<RoutingTable> onApplied) {
 		this.loop = loop;
 		this.proof = proof;
 		this.membership = membership;
 		this.peerLinks = peerLinks;
 		this.metrics = metrics;
+		this.onApplied = onApplied;
 	}
 
 	void start(ConfigurationSource newSource) {
@@ -121,6 +124,7 @@
 			.addKeyValue(LogFields.CONFIGURATION, next.version())
 			.addKeyValue(LogFields.REASON, (current != null) ? "replaces " + current.version() : "first")
 			.log("configuration applied");
+		this.onApplied.accept(next);
 	}
 
 	@Override
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -138,7 +138,8 @@
 		this.membership.setAssignmentListener(this.permitHolder);
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
 		ConfigurationProof proof = new ConfigurationProof(settings.revocationLimit(), System::nanoTime, clock);
-		this.configuration = new CurrentConfiguration(loop, proof, this.membership, this.peerLinks, metrics);
+		this.configuration = new CurrentConfiguration(loop, proof, this.membership, this.peerLinks, metrics,
+				this.slotClient::updateConfiguration);
 		this.services = new Services(loop, clock, System::nanoTime, wireFormat, this.configuration::table,
 				this.shutdown, this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks),
 				this.slotClient, serverConnections,
@@ -217,6 +218,7 @@
 		Runtime runtime = Runtime.getRuntime();
 		metrics.setGauge("slots_in_flight", this.slotClient.inFlightCount());
 		metrics.setGauge("slots_queued", this.slotClient.queuedCount());
+		this.slotClient.renderPlacement(metrics);
 		metrics.setGauge("shards", this.membership.ownedShardCount());
 		metrics.setGauge("generation", this.membership.generation());
 		metrics.setGauge("turns", this.membership.turnCount());
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/AdmittedRequest.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/AdmittedRequest.java
@@ -55,11 +55,12 @@
 
 	SlotRequest toSlotRequest(String holder, boolean programStarted, Deadline deadline, Set<String> excluded,
 			Set<String> connected) {
-		return new SlotRequest(this.scope.qualify(id()), holder, this.scope.accountName(), this.headers.session(),
-				this.route.name(), Objects.requireNonNullElse(this.headers.program(), ""),
-				this.scope.priority(this.route.priority()), programStarted, this.headers.programRemainingMs(deadline),
-				this.route.objective().toMillis(), deadline.remainingMs(), this.headers.prompt(),
-				this.headers.maxTokens(), Set.copyOf(excluded), connected);
+		return new SlotRequest(this.scope.qualify(id()), holder, this.scope.accountName(),
+				this.headers.placementKey(this.route.kind()), this.route.name(),
+				Objects.requireNonNullElse(this.headers.program(), ""), this.scope.priority(this.route.priority()),
+				programStarted, this.headers.programRemainingMs(deadline), this.route.objective().toMillis(),
+				deadline.remainingMs(), this.headers.prompt(), this.headers.maxTokens(), Set.copyOf(excluded),
+				connected);
 	}
 
 	HttpRequest toServerRequest(WireFormat wireFormat, String server, Deadline deadline, ByteBuf body) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ServerAttempts.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.core.pool.ResponseTiming;
 import org.hemlockgw.core.pool.SlotDecision;
 import org.hemlockgw.core.pool.SlotRequest;
 import org.hemlockgw.core.route.RequestKind;
@@ -149,7 +150,7 @@
 
 	private void useGrantedSlot(String server, String address) {
 		if (this.cancelled) {
-			releaseSlot(0, false);
+			releaseSlot(ResponseTiming.NONE, false);
 		}
 		else if (!this.gate.isGranted()) {
 			this.gate.whenGranted(() -> useGrantedSlot(server, address));
@@ -160,7 +161,7 @@
 		else if (this.services.slotClient().isWithdrawn(server)) {
 			// The scheduler's list may be old if the store does not answer its daemon.
 			this.log.grantRejected(server);
-			releaseSlot(0, true);
+			releaseSlot(ResponseTiming.NONE, true);
 			this.excludedServers.add(server);
 			acquire();
 		}
@@ -169,11 +170,11 @@
 		}
 	}
 
-	private void releaseSlot(int units, boolean failed) {
+	private void releaseSlot(ResponseTiming timing, boolean failed) {
 		Slot released = this.slot;
 		this.slot = null;
 		if (released != null) {
-			this.services.slotClient().release(released, units, failed);
+			this.services.slotClient().release(released, timing, failed);
 		}
 	}
 
@@ -184,7 +185,8 @@
 		HttpRequest requestHead = this.request.toServerRequest(this.services.wireFormat(), server.server(),
 				this.deadline, body);
 		ResponseRelay relay = new ResponseRelay(this.services.wireFormat(), this.caller,
-				this.request.route().kind() == RequestKind.STREAMING, this.services.responseMemory());
+				this.request.route().kind() == RequestKind.STREAMING, this.services.responseMemory(),
+				this.services.nanoClock());
 		this.response = relay;
 		this.currentCall = this.services.serverConnections()
 			.send(server.address(), requestHead, body, new HttpResponseListener() {
@@ -265,7 +267,7 @@
 		}
 		this.services.crashingRequests().recordProcessed(this.content);
 		boolean serverError = parsed.status() >= 500;
-		releaseSlot(parsed.isSuccess() ? Math.max(1, relay.eventCount()) : 0, serverError);
+		releaseSlot(parsed.isSuccess() ? relay.timing() : ResponseTiming.NONE, serverError);
 		this.mayHaveRun = true;
 		if (serverError && this.request.route().kind().isRepeatable() && tryAnotherServer(server)) {
 			return;
@@ -275,7 +277,7 @@
 
 	private void handleRejection(ServerProcess server, int status) {
 		this.log.rejected(server.server(), status);
-		releaseSlot(0, true);
+		releaseSlot(ResponseTiming.NONE, true);
 		if (!tryAnotherServer(server)) {
 			this.listener.refused(503, SERVERS_RETRY_AFTER_MS, "servers are full");
 		}
@@ -310,7 +312,7 @@
 			this.sendCount--;
 		}
 		this.log.serverFailed(server.server(), sent, this.sendCount, cause);
-		releaseSlot(0, true);
+		releaseSlot(ResponseTiming.NONE, true);
 		if (!sent) {
 			this.connectFailures++;
 			if (this.connectFailures >= MAX_CONNECT_FAILURES || !tryAnotherServer(server)) {
@@ -336,7 +338,8 @@
 	 * @param paused whether to pause
 	 */
 	void setPaused(boolean paused) {
-		if (this.currentCall != null) {
+		if (this.currentCall != null && this.response != null) {
+			this.response.excludeGaps();
 			this.currentCall.setPaused(paused);
 		}
 	}
@@ -388,7 +391,7 @@
 		if (unfinished != null) {
 			unfinished.abort();
 		}
-		releaseSlot(0, false);
+		releaseSlot(ResponseTiming.NONE, false);
 		discardResponse();
 	}
 
