Measure waits, refusals and fair-share lag of the scheduler

Cause: the scheduler reported only how many requests were queued, so an operator could not tell which rule refused a program or whether an account was behind.

--- a/core/src/main/java/org/hemlockgw/core/pool/AccountFairQueue.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/AccountFairQueue.java
@@ -119,6 +119,15 @@
 		}
 	}
 
+	/**
+	 * Returns how much less time in slots the account served least has received than the
+	 * one served most, among those with a backlog.
+	 * @return time in milliseconds
+	 */
+	double lagMs() {
+		return this.order.isEmpty() ? 0 : this.order.last().startTag - this.order.first().startTag;
+	}
+
 	boolean isEmpty() {
 		return this.size == 0;
 	}
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -306,6 +306,15 @@
 		return this.grants.size();
 	}
 
+	/**
+	 * Returns how much less time in slots the account served least has received than the
+	 * one served most, among those that wait.
+	 * @return time in milliseconds
+	 */
+	public long fairShareLagMs() {
+		return Math.round(this.queue.lagMs());
+	}
+
 	public int queued() {
 		return this.queue.size();
 	}
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotQueue.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotQueue.java
@@ -194,6 +194,14 @@
 		return List.copyOf(this.byId.values());
 	}
 
+	/**
+	 * Returns the largest lag of an account in any level.
+	 * @return time in slots in milliseconds
+	 */
+	double lagMs() {
+		return this.levels.values().stream().mapToDouble(AccountFairQueue::lagMs).max().orElse(0);
+	}
+
 	boolean isEmpty() {
 		return this.byId.isEmpty();
 	}
--- a/experiment/src/main/java/org/hemlockgw/experiment/capacity/CapacityCommand.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/capacity/CapacityCommand.java
@@ -23,8 +23,8 @@
 
 	private static final List<Slope> SLOPES = List.of(new ControlStateSlope(), new OwnershipSlope(),
 			new ConfigurationSlope(), new LedgerRecordSlope(), new ProgramMemorySlope(), new TakeOverSlope(),
-			new EngineChoiceSlope(), new FairQueueSlope(), new PeerFrameSlope(), new VmListSlope(),
-			new LogAppendSlope(), new LedgerWriterSlope());
+			new EngineChoiceSlope(), new FairQueueSlope(), new SchedulerSlope(), new PeerFrameSlope(),
+			new VmListSlope(), new LogAppendSlope(), new LedgerWriterSlope());
 
 	@Spec
 	private @Nullable CommandSpec spec;
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -126,7 +126,7 @@
 		this.membership = new Membership(loop, hedgedStore, clock, System::nanoTime, self, this.peerLinks,
 				this::notifyPeersOfAssignment);
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
-		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime);
+		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime, metrics);
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
 		this.services = new Services(loop, clock, System::nanoTime, wireFormat, () -> this.routingTable, this.shutdown,
 				this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
@@ -212,6 +212,7 @@
 		Runtime runtime = Runtime.getRuntime();
 		metrics.setGauge("slots_in_flight", this.slotClient.inFlightCount());
 		metrics.setGauge("slots_queued", this.slotClient.queuedCount());
+		metrics.setGauge("fair_share_lag_ms", this.slotClient.fairShareLagMs());
 		metrics.setGauge("shards", this.membership.ownedShardCount());
 		metrics.setGauge("generation", this.membership.generation());
 		metrics.setGauge("turns", this.membership.turnCount());
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -28,6 +28,7 @@
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.peer.ReplyListener;
 import org.hemlockgw.gateway.telemetry.LogFields;
+import org.hemlockgw.gateway.telemetry.Metrics;
 
 /**
  * Requests slots from the scheduler of a pool, which runs on the daemon that holds the
@@ -56,6 +57,8 @@
 
 	private final LongSupplier nanoClock;
 
+	private final SchedulerMetrics schedulerMetrics;
+
 	private final Map<String, PoolScheduler> schedulers = new HashMap<>();
 
 	private List<PoolMember> listedServers = List.of();
@@ -68,10 +71,12 @@
 
 	private final Set<Slot> openSlots = new HashSet<>();
 
-	public SlotClient(EventLoop loop, Membership membership, PeerLinks peerLinks, LongSupplier nanoClock) {
+	public SlotClient(EventLoop loop, Membership membership, PeerLinks peerLinks, LongSupplier nanoClock,
+			Metrics metrics) {
 		this.membership = membership;
 		this.peerLinks = peerLinks;
 		this.nanoClock = nanoClock;
+		this.schedulerMetrics = new SchedulerMetrics(metrics);
 		loop.scheduleAtFixedRate(this::checkSlots, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
@@ -164,7 +169,8 @@
 	}
 
 	private PoolScheduler scheduler(String pool) {
-		return this.schedulers.computeIfAbsent(pool, (name) -> new PoolScheduler(this.nanoClock));
+		return this.schedulers.computeIfAbsent(pool,
+				(name) -> new PoolScheduler(this.nanoClock, this.schedulerMetrics));
 	}
 
 	private @Nullable String schedulerAddress(String pool) {
@@ -323,6 +329,15 @@
 		return this.schedulers.values().stream().mapToInt(PoolScheduler::inFlight).sum();
 	}
 
+	/**
+	 * Returns how far the account served last is behind the one served most, for the
+	 * scheduler where this is most.
+	 * @return time in a slot in milliseconds
+	 */
+	public long fairShareLagMs() {
+		return this.schedulers.values().stream().mapToLong(PoolScheduler::fairShareLagMs).max().orElse(0);
+	}
+
 	public int queuedCount() {
 		return this.schedulers.values().stream().mapToInt(PoolScheduler::queued).sum();
 	}
