--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -132,7 +132,7 @@
 		this.membership = new Membership(loop, hedgedStore, clock, System::nanoTime, self, this.peerLinks,
 				this::notifyPeersOfAssignment);
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
-		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime);
+		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime, metrics);
 		this.permitHolder = new PermitHolder(loop, this.membership, this.peerLinks, this::findRoutes,
 				() -> new ClockReading(System.nanoTime(), clock.millis()), settings.capBounds(), metrics);
 		this.membership.setAssignmentListener(this.permitHolder);
@@ -219,6 +219,7 @@
 		metrics.setGauge("slots_in_flight", this.slotClient.inFlightCount());
 		metrics.setGauge("slots_queued", this.slotClient.queuedCount());
 		this.slotClient.renderPlacement(metrics);
+		metrics.setGauge("fair_share_lag_ms", this.slotClient.fairShareLagMs());
 		metrics.setGauge("shards", this.membership.ownedShardCount());
 		metrics.setGauge("generation", this.membership.generation());
 		metrics.setGauge("turns", this.membership.turnCount());
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -62,6 +62,8 @@
 
 	private final LongSupplier nanoClock;
 
+	private final SchedulerMetrics schedulerMetrics;
+
 	private final Map<String, PoolScheduler> schedulers = new HashMap<>();
 
 	private @Nullable RoutingTable configuration;
@@ -76,10 +78,12 @@
 
 	private final Set<Slot> openSlots = new HashSet<>();
 
-	public SlotClient(EventLoop loop, Membership membership, PeerLinks peerLinks, LongSupplier nanoClock) {
+	public SlotClient(EventLoop loop, Membership membership, PeerLinks peerLinks, LongSupplier nanoClock,
+			Metrics metrics) {
 		this.membership = membership;
 		this.peerLinks = peerLinks;
 		this.nanoClock = nanoClock;
+		this.schedulerMetrics = new SchedulerMetrics(metrics);
 		loop.scheduleAtFixedRate(this::checkSlots, TICK_INTERVAL_MS, TICK_INTERVAL_MS, TimeUnit.MILLISECONDS);
 	}
 
@@ -173,7 +177,7 @@
 
 	private PoolScheduler scheduler(String pool) {
 		return this.schedulers.computeIfAbsent(pool, (name) -> {
-			PoolScheduler created = new PoolScheduler(this.nanoClock);
+			PoolScheduler created = new PoolScheduler(this.nanoClock, this.schedulerMetrics);
 			created.setMemoryTokens(memoryTokens(name));
 			return created;
 		});
@@ -363,6 +367,15 @@
 		});
 	}
 
+	/**
+	 * Returns how far the account served last is behind the one served most, for the
+	 * scheduler where this is most.
+	 * @return time in a slot in milliseconds
+	 */
+	public long fairShareLagMs() {
+		return this.schedulers.values().stream().mapToLong(PoolScheduler::fairShareLagMs).max().orElse(0);
+	}
+
 	public int queuedCount() {
 		return this.schedulers.values().stream().mapToInt(PoolScheduler::queued).sum();
 	}
