--- a/experiment/src/main/java/org/hemlockgw/experiment/placement/HashComparison.java
+++ b/experiment/src/main/java/org/hemlockgw/experiment/placement/HashComparison.java
@@ -137,7 +137,7 @@
 		// Eisenbud et al., "Maglev" (2016).
 		private static int[] fillTable(int[] nodes) {
 			// The size must stay the same when a server is added or removed.
-			int size = BigInteger.valueOf((long) TABLE_FACTOR * 2 * Integer.highestOneBit(nodes.length + 1))
+			int size = BigInteger.valueOf((long) TABLE_FACTOR * 2 * Integer.highestOneBit(nodes.length + 8))
 				.nextProbablePrime()
 				.intValue();
 			int[] table = new int[size];
