--- a/core/src/main/java/org/hemlockgw/core/account/AccountDirectory.java
+++ b/core/src/main/java/org/hemlockgw/core/account/AccountDirectory.java
@@ -11,8 +11,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Immutable table of client accounts by API key. Only digests of the keys are kept, so
- * that neither a heap dump nor the time of a lookup reveals a key.
+ * Immutable table of client accounts by API key. Only digests of the keys are kept and
+ * compared, so that the time of a lookup reveals nothing about a key.
  */
 public final class AccountDirectory {
 
--- a/core/src/main/java/org/hemlockgw/core/account/PeerProofSchedule.java
+++ b/core/src/main/java/org/hemlockgw/core/account/PeerProofSchedule.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
 
@@ -75,16 +76,18 @@
 	 * @param nowNanos monotonic time
 	 * @param ageNanos age of the own proof
 	 * @param storeUnavailable whether the store is known to be unavailable
-	 * @param peers addresses of the other daemons
+	 * @param peers returns the addresses of the other daemons; called only if one is
+	 * needed
 	 * @return address of a daemon, to which a request must be sent; null to send none
 	 */
-	public @Nullable String next(long nowNanos, long ageNanos, boolean storeUnavailable, Collection<String> peers) {
+	public @Nullable String next(long nowNanos, long ageNanos, boolean storeUnavailable,
+			Supplier<? extends Collection<String>> peers) {
 		double fraction = storeUnavailable ? DUE_FRACTION_WITHOUT_STORE : DUE_FRACTION;
 		if (this.pending || ageNanos < this.boundNanos * fraction || nowNanos - this.nextRequestNanos < 0) {
 			return null;
 		}
 		this.failures.values().removeIf((failure) -> nowNanos - failure > FAILURE_BACKOFF_NANOS);
-		List<String> candidates = new ArrayList<>(peers);
+		List<String> candidates = new ArrayList<>(peers.get());
 		if (candidates.size() > 1) {
 			candidates.remove(this.lastPeer);
 		}
--- a/core/src/test/java/org/hemlockgw/core/account/AccountTests.java
+++ b/core/src/test/java/org/hemlockgw/core/account/AccountTests.java
@@ -88,20 +88,21 @@
 		List<String> peers = List.of("a", "b", "c", "d");
 		long now = 0;
 		String previous = "";
-		assertThat(schedule.next(now, Duration.ofMillis(3100).toNanos(), false, peers)).isNull();
+		assertThat(schedule.next(now, Duration.ofMillis(3100).toNanos(), false, () -> peers)).isNull();
 		for (boolean useful : replies) {
 			long requestedBefore = now;
 			String peer = null;
 			while (peer == null) {
 				now += Duration.ofMillis(10).toNanos();
-				peer = schedule.next(now, Long.MAX_VALUE, false, peers);
+				peer = schedule.next(now, Long.MAX_VALUE, false, () -> peers);
 				assertThat(now - requestedBefore).isLessThan(Duration.ofSeconds(3).toNanos());
 			}
 			assertThat(peer).isNotEqualTo(previous);
 			if (!previous.isEmpty()) {
 				assertThat(now - requestedBefore).isAtLeast(Duration.ofMillis(333).toNanos());
 			}
-			assertThat(schedule.next(now + Duration.ofMinutes(1).toNanos(), Long.MAX_VALUE, false, peers)).isNull();
+			assertThat(schedule.next(now + Duration.ofMinutes(1).toNanos(), Long.MAX_VALUE, false, () -> peers))
+				.isNull();
 			previous = peer;
 			if (useful) {
 				schedule.replied(true);
@@ -112,7 +113,7 @@
 		}
 	}
 
-	// Guards against keys that can be read from memory dumps or error messages.
+	// Guards against a key of two accounts, and an error message that contains a key.
 	@Example
 	void keysAreAmbiguousOnlyBetweenAccounts() {
 		AccountDirectory.Builder builder = new AccountDirectory.Builder().add(new ClientAccount("red", null, null),
--- a/core/src/test/java/org/hemlockgw/core/account/RevocationModel.java
+++ b/core/src/test/java/org/hemlockgw/core/account/RevocationModel.java
@@ -289,7 +289,7 @@
 		private void tick(int startedIncarnation, PeerProofSchedule current) {
 			receiveIn(startedIncarnation, 100, () -> {
 				long now = this.proof.clock().getAsLong();
-				String peer = current.next(now, this.proof.ageNanos(), false, peers());
+				String peer = current.next(now, this.proof.ageNanos(), false, this::peers);
 				if (peer != null) {
 					ask(RevocationModel.this.daemons.get(Integer.parseInt(peer)), now, current);
 				}
--- a/gateway/src/main/java/org/hemlockgw/gateway/CurrentConfiguration.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/CurrentConfiguration.java
@@ -137,7 +137,7 @@
 		}
 		logChangedValidity();
 		String peer = schedule.next(now, this.proof.ageNanos(), this.membership.isStoreUnavailable(),
-				this.membership.peerAddresses());
+				this.membership::peerAddresses);
 		if (peer != null) {
 			requestProof(schedule, peer, now);
 		}
