--- a/core/src/test/java/org/hemlockgw/core/quota/ShardPermitsTests.java
+++ b/core/src/test/java/org/hemlockgw/core/quota/ShardPermitsTests.java
@@ -63,4 +63,74 @@
 		}
 	}
 
+	// Guards against an initial level that each of several new holders grants within one
+	// window, and against returns that are credited without a limit: neither may use the
+	// shares that are reserved for other failures.
+	@Example
+	void successiveTakeOversShareOneInitialLevel() {
+		UsageCap cap = new UsageCap(20, 20);
+		CapShares shares = CapShares.of(cap, CapSimulation.BOUNDS);
+		long[] nowMs = { 0 };
+		int grants = 0;
+		for (int generation = 1; generation <= 5; generation++) {
+			ShardPermits holder = new ShardPermits(() -> new ClockReading(nowMs[0] * 1_000_000, nowMs[0]),
+					(account) -> cap, CapSimulation.BOUNDS);
+			assertThat(holder.confirm(generation, new ClockReading(nowMs[0] * 1_000_000, nowMs[0]))).isTrue();
+			holder.previousEnded(generation, generation - 1, nowMs[0] * 1_000_000 - ShardPermits.AUTHORITY_NANOS);
+			for (long endMs = nowMs[0] + 1000; nowMs[0] < endMs; nowMs[0] += 5) {
+				PermitDecision decision = holder.decide(new PermitRequest("acme", 0, false));
+				grants += (decision.permit() != 0) ? 1 : 0;
+			}
+		}
+		double withoutState = shares.rate() * shares.windowSeconds() + shares.start();
+		assertThat((double) grants).isAtMost(withoutState);
+		assertThat((double) grants).isGreaterThan(withoutState - 10);
+	}
+
+	// Guards against returns that are credited without a limit: permits that were granted
+	// long ago would allow as many requests at once.
+	@Example
+	void creditsForReturnsAreLimited() {
+		UsageCap cap = new UsageCap(100, 100);
+		CapShares shares = CapShares.of(cap, CapSimulation.BOUNDS);
+		AccountPermits account = new AccountPermits(cap, CapSimulation.BOUNDS, 0);
+		account.refill(100_000_000_000L, 100);
+		PermitRequest request = new PermitRequest("acme", 0, false);
+		long granted = 0;
+		while (account.decide(request, granted + 1).permit() != 0) {
+			granted++;
+		}
+		int credited = 0;
+		for (long permit = 1; permit <= granted; permit++) {
+			credited += account.giveBack(permit) ? 1 : 0;
+		}
+		assertThat(credited).isAtLeast(1);
+		assertThat((double) credited).isAtMost(shares.returns() / 2);
+		assertThat(account.giveBack(1)).isFalse();
+	}
+
+	// Guards against new programs that are admitted while running programs use up the
+	// cap, and against an account below its cap whose new programs are refused.
+	@Example
+	void runningProgramsTakePrecedenceOnlyUnderPressure() {
+		UsageCap cap = new UsageCap(10, 10);
+		AccountPermits account = new AccountPermits(cap, CapSimulation.BOUNDS, 0);
+		long nanos = 20_000_000_000L;
+		int program = 1;
+		for (; program <= 90; program++, nanos += 112_000_000) {
+			account.refill(nanos, 20);
+			assertThat(account.decide(new PermitRequest("acme", 1 + program / 10, program % 10 == 0), program).status())
+				.isEqualTo(PermitDecision.Status.GRANTED);
+		}
+		PermitDecision refused = PermitDecision.NOT_READY;
+		for (int i = 0; i < 60 && refused.status() != PermitDecision.Status.PROGRAM_DENIED; i++) {
+			refused = account.decide(new PermitRequest("acme", 100 + i, true), 100 + i);
+		}
+		assertThat(refused.status()).isEqualTo(PermitDecision.Status.PROGRAM_DENIED);
+		assertThat(account.decide(new PermitRequest("acme", 100, true), 500).status())
+			.isEqualTo(PermitDecision.Status.GRANTED);
+		assertThat(account.decide(new PermitRequest("acme", 900, true), 501).retryAfterMs())
+			.isGreaterThan(refused.retryAfterMs());
+	}
+
 }
