--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/AssignmentListener.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/AssignmentListener.java
@@ -8,6 +8,10 @@
  */
 public interface AssignmentListener {
 
+	/** Listener that ignores all calls. */
+	AssignmentListener NONE = (assignment, sent) -> {
+	};
+
 	/**
 	 * Called for each response to a join, unless a newer one was received before.
 	 * @param assignment shards of this daemon
@@ -15,4 +19,10 @@
 	 */
 	void assigned(ShardAssignment assignment, ClockReading sent);
 
+	/**
+	 * Called when this daemon gives up all shards before it leaves the group.
+	 */
+	default void released() {
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/owner/Membership.java
@@ -90,8 +90,7 @@
 
 	private final GroupJoins joins;
 
-	private AssignmentListener assignmentListener = (assignment, sent) -> {
-	};
+	private AssignmentListener assignmentListener = AssignmentListener.NONE;
 
 	private boolean leaving;
 
@@ -283,8 +282,7 @@
 			return;
 		}
 		this.owned.retainOnly((number) -> false);
-		this.assignmentListener.assigned(new ShardAssignment(this.generation, Set.of()),
-				new ClockReading(this.nanoClock.getAsLong(), 0));
+		this.assignmentListener.released();
 		this.store.leave(this.self.text()).whenComplete((result, error) -> {
 			if (error != null) {
 				logger.warn("failed to leave the group: {}", error.getMessage());
--- a/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
@@ -107,6 +107,11 @@
 		}
 	}
 
+	@Override
+	public void released() {
+		this.shards.values().forEach(ShardPermits::lose);
+	}
+
 	private @Nullable UsageCap findCap(String account) {
 		RoutingTable table = this.routes.get();
 		if (table == null || table.accounts() == null) {
