Bound the memory and connections that clients can hold

Cause: bodies were collected by Netty's aggregator without a common limit, one component for each chunk, before the request was checked; heads could have any number of fields; no limit applied to connections, to the time of a head or body, or to unread responses; an OutOfMemoryError was logged or swallowed and left a process that answered nothing.

Change: core.limit.MemoryBudget decides for all ports who waits, who is refused and who is closed first. Requests are refused by their head (HeadDecision) before a body is kept; parts are merged as they arrive; a large body has one direct buffer that is sent without a copy; later requests of a connection stay in its socket. Limits for heads, bodies and unread responses come from the configuration. ExitOnOutOfMemoryError ends the process for the heap, MemoryExhaustion for direct memory, both with status 3. MemoryExhaustionTests uses -Xmx4m, since a daemon starts with 6 MB, and has a case for a running process.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package org.hemlockgw.gateway;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashSet;
 import java.util.List;
@@ -15,12 +16,16 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.internal.PlatformDependent;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.core.limit.CloseCause;
+import org.hemlockgw.core.limit.ConnectionGroup;
+import org.hemlockgw.core.limit.MemoryBudget;
+import org.hemlockgw.core.limit.ProgressLimits;
 import org.hemlockgw.core.route.CallerLimits;
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.core.store.StateStore;
@@ -30,6 +35,7 @@
 import org.hemlockgw.gateway.entry.Services;
 import org.hemlockgw.gateway.entry.Shutdown;
 import org.hemlockgw.gateway.entry.WireFormat;
+import org.hemlockgw.gateway.net.CountedHeaders;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.HedgedStore;
 import org.hemlockgw.gateway.owner.MemberName;
@@ -68,6 +74,29 @@
 	/** Maximum size in bytes of the body chunks that the decoder emits. */
 	private static final int MAX_CHUNK_BYTES = 8192;
 
+	/**
+	 * Maximum number of header fields of a request and of its trailers. Together with the
+	 * size limit it bounds the memory of a head.
+	 */
+	private static final int MAX_HEADER_FIELDS = 512;
+
+	/** Descriptors that are kept for files, pipes and listeners. */
+	private static final int RESERVED_DESCRIPTORS = 200;
+
+	/**
+	 * Fraction of the other descriptors for connections of callers; the rest is for
+	 * servers, other daemons, the store and checks.
+	 */
+	private static final double CALLER_DESCRIPTOR_FRACTION = 0.5;
+
+	/** Heap in bytes per connection of a caller; an idle one takes about 8 KB. */
+	private static final int HEAP_PER_CONNECTION_BYTES = 32 * 1024;
+
+	private static final int MIN_CALLER_CONNECTIONS = 64;
+
+	/** Interval in milliseconds at which time limits of connections are checked. */
+	private static final long LIMIT_CHECK_MS = 500;
+
 	/**
 	 * Fraction of the shutdown grace period in which open requests may finish; the rest
 	 * is reserved for ending the others and for the exit of the process.
@@ -100,6 +129,10 @@
 
 	private final Services services;
 
+	private final MemoryBudget memoryBudget;
+
+	private final ConnectionGroup callerGroup;
+
 	private final Set<CallerConnection> callerConnections = new HashSet<>();
 
 	private @Nullable Channel callerListener;
@@ -121,6 +154,11 @@
 				settings.dataCentre(), Long.toString(clock.millis(), Character.MAX_RADIX));
 		this.peerLinks = new PeerLinks(loop, self.text(), System::nanoTime);
 		Metrics metrics = new Metrics();
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		this.memoryBudget = MemoryBudget.of(heapBytes, PlatformDependent.maxDirectMemory(), settings.memoryBytes(),
+				System::nanoTime, this::progressLimits);
+		this.callerGroup = new ConnectionGroup(maxCallerConnections(settings.maxDescriptors(), heapBytes));
+		this.memoryBudget.add(this.callerGroup);
 		StateStore hedgedStore = new HedgedStore(loop, new MeasuredStore(store, metrics, System::nanoTime),
 				System::nanoTime);
 		this.membership = new Membership(loop, hedgedStore, clock, System::nanoTime, self, this.peerLinks,
@@ -132,7 +170,26 @@
 				this.membership, new OwnerClient(this.membership, this.programOwner, this.peerLinks), this.slotClient,
 				serverConnections, new CrashingRequests(loop, clock, System::nanoTime, this.membership, this.peerLinks,
 						crashLog, serverConnections),
-				ResponseMemory.ofHeap(Runtime.getRuntime().maxMemory()), metrics);
+				ResponseMemory.ofHeap(heapBytes), this.memoryBudget, metrics);
+	}
+
+	private static int maxCallerConnections(int maxDescriptors, long heapBytes) {
+		double sockets = (maxDescriptors - RESERVED_DESCRIPTORS) * CALLER_DESCRIPTOR_FRACTION;
+		return (int) Math.max(MIN_CALLER_CONNECTIONS,
+				Math.min(sockets, (double) heapBytes / HEAP_PER_CONNECTION_BYTES));
+	}
+
+	private ProgressLimits progressLimits() {
+		CallerLimits limits = callerLimits();
+		// A planned stop leaves connections alone on which a request has begun to arrive;
+		// its grace period limits their time.
+		Duration head = this.shutdown.isActive() ? limits.idleTimeout() : limits.headerTimeout();
+		return ProgressLimits.of(head, limits.idleTimeout());
+	}
+
+	private CallerLimits callerLimits() {
+		RoutingTable current = this.routingTable;
+		return (current != null) ? current.limits() : CallerLimits.DEFAULT;
 	}
 
 	/**
@@ -142,16 +199,18 @@
 	 * @param directory source of the list of backend servers
 	 */
 	public void start(ConfigurationSource configuration, BackendDirectory directory) {
-		PeerListener.start(this.settings.peerAddress(), this.loop, this);
-		StatusServer.start(this.settings.readinessAddress(), this.loop,
+		PeerListener.start(this.settings.peerAddress(), this.loop, this.memoryBudget, this);
+		StatusServer.start(this.settings.readinessAddress(), this.loop, this.memoryBudget,
 				() -> isReady() ? new StatusServer.StatusResponse(200, "ready\n")
 						: new StatusServer.StatusResponse(503, "not ready\n"));
-		StatusServer.start(this.settings.metricsAddress(), this.loop,
+		StatusServer.start(this.settings.metricsAddress(), this.loop, this.memoryBudget,
 				() -> new StatusServer.StatusResponse(200, renderMetrics()));
 		listenForCallers();
 		this.loop.execute(() -> {
 			this.membership.start();
 			this.services.crashingRequests().start();
+			this.loop.scheduleAtFixedRate(this.memoryBudget::check, LIMIT_CHECK_MS, LIMIT_CHECK_MS,
+					TimeUnit.MILLISECONDS);
 			configuration.watch(this::applyConfiguration);
 			directory.watch((list) -> {
 				this.serverListReceived = true;
@@ -178,13 +237,14 @@
 	}
 
 	private void initCallerChannel(SocketChannel channel) {
-		RoutingTable current = this.routingTable;
-		CallerLimits limits = (current != null) ? current.limits() : CallerLimits.DEFAULT;
 		CallerConnection connection = new CallerConnection(this.services, channel);
-		channel.pipeline()
-			.addLast(connection.byteObserver(),
-					new HttpServerCodec(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes(), MAX_CHUNK_BYTES),
-					new HttpObjectAggregator(limits.maxBodyBytes()), connection);
+		HttpServerCodec codec = new HttpServerCodec(
+				CountedHeaders.decoderConfig(MAX_REQUEST_LINE_BYTES, callerLimits().maxHeaderBytes(), MAX_HEADER_FIELDS)
+					.setMaxChunkSize(MAX_CHUNK_BYTES));
+		if (!connection.open(this.callerGroup, codec)) {
+			channel.close();
+			return;
+		}
 		this.callerConnections.add(connection);
 		channel.closeFuture().addListener((closed) -> this.callerConnections.remove(connection));
 	}
@@ -217,6 +277,14 @@
 		metrics.setGauge("turns", this.membership.turnCount());
 		metrics.setGauge("unacknowledged_records", this.membership.unacknowledgedRecordCount());
 		metrics.setGauge("server_connections_opened", this.services.serverConnections().openedCount());
+		metrics.setGauge("client_bytes", this.memoryBudget.heldBytes());
+		metrics.setGauge("client_connections", this.callerGroup.size());
+		metrics.setGauge("client_bodies_waiting", this.memoryBudget.waitingCount());
+		metrics.setGauge("client_refused_for_memory", this.memoryBudget.refusedCount());
+		for (CloseCause cause : CloseCause.values()) {
+			metrics.setGauge(Metrics.withLabel("client_connections_closed", "cause", cause.label()),
+					this.memoryBudget.closedCount(cause));
+		}
 		metrics.setGauge("heap_bytes", runtime.totalMemory() - runtime.freeMemory());
 		return metrics.render();
 	}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -9,30 +9,38 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import org.hemlockgw.core.limit.ClientMemory;
+import org.hemlockgw.core.limit.ClientMemory.Phase;
+import org.hemlockgw.core.limit.CloseCause;
+import org.hemlockgw.core.limit.ConnectionGroup;
+import org.hemlockgw.core.limit.MemoryBudget;
 import org.hemlockgw.core.route.CallerLimits;
 import org.hemlockgw.core.route.RoutingTable;
+import org.hemlockgw.gateway.telemetry.LogFields;
+import org.hemlockgw.gateway.telemetry.MemoryExhaustion;
 
 /**
  * Connection from a caller. Requests on one connection are handled one after another.
  */
-public final class CallerConnection extends ChannelInboundHandlerAdapter {
+public final class CallerConnection extends ChannelInboundHandlerAdapter implements ClientMemory.Owner {
 
 	private static final Logger logger = LoggerFactory.getLogger(CallerConnection.class);
 
@@ -49,7 +57,23 @@
 
 	private final Channel channel;
 
-	private final Deque<FullHttpRequest> pendingRequests = new ArrayDeque<>();
+	/**
+	 * Time in milliseconds for which a body is still read after its request was refused,
+	 * so that the response isn't lost with a reset of the connection.
+	 */
+	private static final long LINGER_MS = 1000;
+
+	private final Deque<ReceivedRequest> pendingRequests = new ArrayDeque<>();
+
+	private final MemoryBudget budget;
+
+	private @Nullable ClientMemory memory;
+
+	private @Nullable CallerGate gate;
+
+	private @Nullable RequestAssembler assembler;
+
+	private @Nullable ReceivedRequest currentRequest;
 
 	private @Nullable Exchange currentExchange;
 
@@ -59,6 +83,8 @@
 
 	private boolean closing;
 
+	private boolean released;
+
 	private final Deadline firstRequestLimit;
 
 	private Deadline idleLimit;
@@ -68,23 +94,29 @@
 	public CallerConnection(Services services, Channel channel) {
 		this.services = services;
 		this.channel = channel;
+		this.budget = services.memoryBudget();
 		this.firstRequestLimit = new Deadline(services.nanoClock(), FIRST_REQUEST_MS);
 		this.idleLimit = newIdleLimit();
 	}
 
 	/**
-	 * Returns a handler for the beginning of the pipeline, which notices requests that
-	 * are not decoded yet.
-	 * @return the handler
+	 * Adds the handlers of the connection to its channel.
+	 * @param group connections of the port
+	 * @param codec decodes requests and encodes responses
+	 * @return false if there are too many connections and this one must be closed
 	 */
-	public ChannelHandler byteObserver() {
-		return new ChannelInboundHandlerAdapter() {
-			@Override
-			public void channelRead(ChannelHandlerContext ctx, Object msg) {
-				CallerConnection.this.receiving = true;
-				ctx.fireChannelRead(msg);
-			}
-		};
+	public boolean open(ConnectionGroup group, ChannelHandler codec) {
+		ClientMemory opened = this.budget.open(group, this);
+		if (opened == null) {
+			return false;
+		}
+		CallerGate newGate = new CallerGate(this, this.budget, opened);
+		RequestAssembler newAssembler = new RequestAssembler(this.services, this, opened);
+		this.memory = opened;
+		this.gate = newGate;
+		this.assembler = newAssembler;
+		this.channel.pipeline().addLast(newGate, codec, newAssembler, this);
+		return true;
 	}
 
 	private Deadline newIdleLimit() {
@@ -100,11 +132,12 @@
 
 	private void checkIdle() {
 		long remainingMs = this.idleLimit.remainingMs();
-		if (this.currentExchange == null && remainingMs <= 0) {
+		boolean receivingBody = this.assembler != null && this.assembler.isReceivingBody();
+		if (this.currentExchange == null && !receivingBody && remainingMs <= 0) {
 			this.channel.close();
 			return;
 		}
-		long delayMs = (this.currentExchange != null) ? this.idleLimit.limitMs() : remainingMs;
+		long delayMs = (this.currentExchange != null || receivingBody) ? this.idleLimit.limitMs() : remainingMs;
 		this.idleTimer = this.services.loop().schedule(this::checkIdle, Math.max(1, delayMs), TimeUnit.MILLISECONDS);
 	}
 
@@ -128,32 +161,123 @@
 	 * Ends the current request, because this daemon can't wait for its response.
 	 */
 	public void endExchange() {
-		this.pendingRequests.forEach(ReferenceCountUtil::release);
-		this.pendingRequests.clear();
+		releasePending();
 		if (this.currentExchange != null) {
 			this.currentExchange.endForShutdown();
 		}
 	}
 
+	private void releasePending() {
+		this.pendingRequests.forEach(this::release);
+		this.pendingRequests.clear();
+	}
+
+	private void release(ReceivedRequest request) {
+		request.http().release();
+		if (this.memory != null) {
+			this.budget.release(this.memory, request.smallBytes());
+			this.budget.releaseLarge(this.memory, request.largeBytes());
+		}
+	}
+
+	boolean isBusy() {
+		return this.currentExchange != null;
+	}
+
+	void bytesReceived() {
+		this.receiving = true;
+	}
+
+	long takeHeadBytes() {
+		return (this.gate != null) ? this.gate.takeHeadBytes() : 0;
+	}
+
+	/**
+	 * Called when the head of a request was received and its body is to be kept.
+	 */
+	void beginBody() {
+		if (this.currentExchange == null && this.memory != null) {
+			this.budget.enter(this.memory, Phase.BODY);
+		}
+	}
+
+	/**
+	 * Stops reading while a body waits for memory or many bytes of later requests have
+	 * arrived, and continues otherwise.
+	 */
+	void updateReading() {
+		boolean stopped = (this.memory != null && this.memory.isWaiting()) || (this.gate != null && this.gate.isFull());
+		this.channel.config().setAutoRead(!stopped);
+	}
+
+	void closeAfterResponse() {
+		this.closing = true;
+	}
+
+	void discardedBodyEnded() {
+		if (this.currentExchange == null && this.closing) {
+			this.channel.close();
+		}
+		else if (this.currentExchange == null) {
+			enterIdle();
+		}
+	}
+
 	@Override
-	public void channelRead(ChannelHandlerContext ctx, Object msg) {
-		this.receiving = false;
-		this.used = true;
-		if (!(msg instanceof FullHttpRequest request) || this.closing) {
-			ReferenceCountUtil.release(msg);
+	public void largeBodyDecided(boolean granted) {
+		ChannelHandlerContext ctx = (this.assembler != null) ? this.channel.pipeline().context(this.assembler) : null;
+		if (ctx != null && this.assembler != null) {
+			this.assembler.largeBodyDecided(ctx, granted);
+			if (this.currentExchange == null && this.gate != null) {
+				if (this.assembler.isReceivingBody()) {
+					beginBody();
+				}
+				this.gate.passHeld();
+			}
+			updateReading();
+		}
+	}
+
+	@Override
+	public void close(CloseCause cause) {
+		logger.atInfo()
+			.addKeyValue(LogFields.PEER, this.channel.remoteAddress())
+			.addKeyValue(LogFields.REASON, cause.label())
+			.log("closed the connection of a caller");
+		releaseAll();
+		this.channel.close();
+	}
+
+	@Override
+	public long unsentBytes() {
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		return (buffer != null) ? buffer.totalPendingWriteBytes() - buffer.currentProgress() : 0;
+	}
+
+	void handleMalformed(Throwable cause) {
+		logger.info("closing a caller connection: {}", String.valueOf(cause));
+		if (this.currentExchange != null) {
+			// A response now would be taken for that of the request in progress.
+			this.channel.close();
 			return;
 		}
-		if (request.decoderResult().isFailure()) {
-			logger.info("closing a caller connection: {}", String.valueOf(request.decoderResult().cause()));
-			request.release();
-			sendError(400, 0, "malformed request");
+		this.receiving = false;
+		this.used = true;
+		sendError(400, 0, "malformed request");
+	}
+
+	void receive(ReceivedRequest request) {
+		this.receiving = false;
+		this.used = true;
+		if (this.released || (this.closing && request.refusal() == null)) {
+			release(request);
 			return;
 		}
 		if (this.currentExchange != null) {
 			if (this.pendingRequests.size() >= MAX_PIPELINED_REQUESTS) {
 				logger.info("closing a caller connection: more than {} pipelined requests", MAX_PIPELINED_REQUESTS);
-				request.release();
-				ctx.close();
+				release(request);
+				this.channel.close();
 				return;
 			}
 			this.pendingRequests.add(request);
@@ -162,9 +286,13 @@
 		begin(request);
 	}
 
-	private void begin(FullHttpRequest request) {
+	private void begin(ReceivedRequest request) {
+		if (this.memory != null) {
+			this.budget.enter(this.memory, Phase.ANSWERING);
+		}
 		Exchange exchange = new Exchange(this.services, this, request);
 		this.currentExchange = exchange;
+		this.currentRequest = request;
 		exchange.start();
 	}
 
@@ -196,7 +324,14 @@
 	 */
 	void sendResponse(DefaultFullHttpResponse response) {
 		applyConnectionClose(response);
-		this.channel.writeAndFlush(response).addListener((sent) -> finishExchange());
+		long bytes = response.content().readableBytes();
+		ChannelFuture sent = this.channel.writeAndFlush(response);
+		ClientMemory held = this.memory;
+		if (held != null && !sent.isDone()) {
+			this.budget.charge(held, bytes);
+			sent.addListener((done) -> this.budget.release(held, bytes));
+		}
+		sent.addListener((done) -> finishExchange());
 	}
 
 	/**
@@ -219,19 +354,60 @@
 	 * Ends the current exchange, then closes the connection or begins the next request.
 	 */
 	void finishExchange() {
-		Exchange finished = this.currentExchange;
+		ReceivedRequest finished = this.currentRequest;
 		this.currentExchange = null;
+		this.currentRequest = null;
 		this.idleLimit = newIdleLimit();
 		if (finished != null) {
-			finished.request().release();
+			release(finished);
 		}
+		if (this.released || !this.channel.isActive()) {
+			return;
+		}
+		boolean receivingBody = this.assembler != null && this.assembler.isReceivingBody();
 		if (this.closing || (this.services.shutdown().isActive() && this.pendingRequests.isEmpty())) {
+			if (this.assembler != null && this.assembler.isDiscarding()) {
+				linger();
+				return;
+			}
 			this.channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
-		FullHttpRequest next = this.pendingRequests.poll();
+		ReceivedRequest next = this.pendingRequests.poll();
 		if (next != null) {
 			begin(next);
+			return;
+		}
+		if (this.memory == null || this.memory.isWaiting()) {
+			return;
+		}
+		if (receivingBody) {
+			this.budget.enter(this.memory, Phase.BODY);
+		}
+		else {
+			enterIdle();
+		}
+		if (this.gate != null) {
+			this.gate.passHeld();
+		}
+	}
+
+	private void enterIdle() {
+		if (this.memory != null) {
+			this.budget.enter(this.memory, Phase.IDLE);
+		}
+	}
+
+	private void linger() {
+		if (this.memory != null) {
+			this.budget.enter(this.memory, Phase.BODY);
+		}
+		if (this.gate != null) {
+			this.gate.passHeld();
+		}
+		if (this.channel instanceof SocketChannel socket && socket.isActive()) {
+			socket.shutdownOutput();
+			this.services.loop().schedule(() -> this.channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -246,23 +422,42 @@
 		}
 	}
 
+	private void releaseAll() {
+		this.closing = true;
+		this.released = true;
+		Exchange unfinished = this.currentExchange;
+		ReceivedRequest unfinishedRequest = this.currentRequest;
+		this.currentExchange = null;
+		this.currentRequest = null;
+		if (unfinished != null) {
+			unfinished.callerDisconnected();
+		}
+		if (unfinishedRequest != null) {
+			release(unfinishedRequest);
+		}
+		releasePending();
+		if (this.gate != null) {
+			this.gate.discard();
+		}
+		if (this.assembler != null) {
+			this.assembler.discard();
+		}
+	}
+
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		if (this.idleTimer != null) {
 			this.idleTimer.cancel(false);
 		}
-		Exchange unfinished = this.currentExchange;
-		this.currentExchange = null;
-		if (unfinished != null) {
-			unfinished.callerDisconnected();
-			unfinished.request().release();
+		releaseAll();
+		if (this.memory != null) {
+			this.budget.remove(this.memory);
 		}
-		this.pendingRequests.forEach(ReferenceCountUtil::release);
-		this.pendingRequests.clear();
 	}
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		MemoryExhaustion.exitIfCause(cause);
 		if (!(cause instanceof IOException)) {
 			logger.warn("closing a caller connection after an unexpected error", cause);
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -24,24 +24,12 @@
 	/** Deadline in milliseconds for callers that specify none. */
 	private static final long DEFAULT_DEADLINE_MS = 30_000;
 
-	/**
-	 * Retry-After in milliseconds before a configuration is received; a start takes less
-	 * than a second.
-	 */
-	private static final long START_RETRY_AFTER_MS = 500;
-
 	/**
 	 * Retry-After in milliseconds while this daemon shuts down; the caller's next
 	 * connection reaches another daemon.
 	 */
 	private static final long SHUTDOWN_RETRY_AFTER_MS = 50;
 
-	/**
-	 * Maximum length of the identifiers of requests and programs in characters. They
-	 * become keys of at most 255 bytes in the store.
-	 */
-	private static final int MAX_IDENTIFIER_LENGTH = 120;
-
 	private static final byte[] NO_PROMPT = {};
 
 	private final Services services;
@@ -52,6 +40,9 @@
 
 	private final CallerRequest callerRequest;
 
+	/** Refusal before the body was received; null if there was none. */
+	private final @Nullable Refusal earlyRefusal;
+
 	private final RequestLog log;
 
 	private Deadline deadline;
@@ -70,11 +61,12 @@
 
 	private boolean ended;
 
-	Exchange(Services services, CallerConnection caller, FullHttpRequest request) {
+	Exchange(Services services, CallerConnection caller, ReceivedRequest received) {
 		this.services = services;
 		this.caller = caller;
-		this.request = request;
-		this.callerRequest = services.wireFormat().decode(request);
+		this.request = received.http();
+		this.callerRequest = received.parsed();
+		this.earlyRefusal = received.refusal();
 		this.deadline = new Deadline(services.nanoClock(),
 				(this.callerRequest.deadlineMs() > 0) ? this.callerRequest.deadlineMs() : DEFAULT_DEADLINE_MS);
 		this.log = new RequestLog(this.callerRequest, services.metrics(), services.nanoClock(), this.deadline);
@@ -85,23 +77,16 @@
 	}
 
 	void start() {
-		RoutingTable routes = this.services.routes().get();
-		if (routes == null) {
-			refuse(503, START_RETRY_AFTER_MS, "no configuration is known yet");
-			return;
-		}
-		Route route = routes.match(this.callerRequest.host(), this.callerRequest.path());
-		if (route == null) {
-			refuse(404, 0, "no route");
+		HeadDecision decision = HeadDecision.of(this.services, this.callerRequest);
+		Refusal refusal = (this.earlyRefusal != null) ? this.earlyRefusal : decision.refusal();
+		RoutingTable routes = decision.routes();
+		Route route = decision.route();
+		if (refusal != null) {
+			refuse(refusal);
 			return;
 		}
-		if (this.callerRequest.id().isEmpty()) {
-			refuse(400, 0, "request identifier is missing");
-			return;
-		}
-		if (hasLongIdentifier()) {
-			refuse(400, 0, "an identifier is longer than " + MAX_IDENTIFIER_LENGTH + " characters");
-			return;
+		if (routes == null || route == null) {
+			throw new IllegalStateException("a request without a route must be refused");
 		}
 		this.pool = route.selectPool(this.callerRequest.id().hashCode());
 		this.deadline = this.deadline.withLimit(Math.min(this.deadline.limitMs(), route.timeout().toMillis()));
@@ -127,12 +112,6 @@
 		session.open();
 	}
 
-	private boolean hasLongIdentifier() {
-		String program = this.callerRequest.program();
-		return this.callerRequest.id().length() > MAX_IDENTIFIER_LENGTH
-				|| (program != null && program.length() > MAX_IDENTIFIER_LENGTH);
-	}
-
 	private PeerMessage.@Nullable OpenTurn createOpenTurn(Route route) {
 		Duration retention = route.retention();
 		String program = this.callerRequest.program();
@@ -257,6 +236,10 @@
 		this.caller.channel().close();
 	}
 
+	private void refuse(Refusal refusal) {
+		refuse(refusal.status(), refusal.retryAfterMs(), refusal.reason());
+	}
+
 	// Status 503 guarantees that the request has not run.
 	private void refuse(int preferredStatus, long retryAfterMs, String reason) {
 		if (this.ended) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestContent.java
@@ -1,5 +1,6 @@
 package org.hemlockgw.gateway.entry;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -7,7 +8,6 @@
 import java.util.Locale;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -53,6 +53,9 @@
 	 * @return the body; must be released
 	 */
 	ByteBuf retainedBody() {
+		if (this.bodyPrefix.length == 0) {
+			return this.request.content().retainedDuplicate();
+		}
 		return Unpooled.wrappedBuffer(Unpooled.wrappedBuffer(this.bodyPrefix),
 				this.request.content().retainedDuplicate());
 	}
@@ -99,7 +102,9 @@
 			sha256.update(head().getBytes(StandardCharsets.UTF_8));
 			sha256.update((byte) 0);
 			sha256.update(this.bodyPrefix);
-			sha256.update(ByteBufUtil.getBytes(this.request.content()));
+			for (ByteBuffer part : this.request.content().nioBuffers()) {
+				sha256.update(part);
+			}
 			return HexFormat.of().formatHex(sha256.digest(), 0, DIGEST_BYTES);
 		}
 		catch (NoSuchAlgorithmException ex) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.core.limit.MemoryBudget;
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
@@ -29,10 +30,11 @@
  * @param serverConnections connections to backend servers
  * @param crashingRequests requests during which servers were lost
  * @param responseMemory memory for responses of backend servers
+ * @param memoryBudget memory that is held for callers
  * @param metrics metrics of this daemon
  */
 public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wireFormat,
 		Supplier<@Nullable RoutingTable> routes, Shutdown shutdown, Membership membership, OwnerClient ownerClient,
 		SlotClient slotClient, HttpConnections serverConnections, CrashingRequests crashingRequests,
-		ResponseMemory responseMemory, Metrics metrics) {
+		ResponseMemory responseMemory, MemoryBudget memoryBudget, Metrics metrics) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/net/HttpClientConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,6 +19,8 @@
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.gateway.telemetry.MemoryExhaustion;
+
 /**
  * Connection that carries one request at a time. Data received without a pending request
  * makes it unusable for further requests.
@@ -72,15 +75,26 @@
 		this.requestSentNanos = this.connections.nanoTime();
 		nextCall.attach(this);
 		this.channel.write(head);
-		if (body.isReadable()) {
-			this.channel.write(new DefaultHttpContent(body));
-		}
-		else {
+		writeBody(body);
+		// A failed write consumes the error that reading would report otherwise.
+		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((written) -> {
+			MemoryExhaustion.exitIfCause(written.cause());
+			this.connectionReset |= !written.isSuccess();
+		});
+	}
+
+	// The channel copies a buffer that has several components, but not each of them.
+	private void writeBody(ByteBuf body) {
+		if (!body.isReadable()) {
 			body.release();
+			return;
 		}
-		// A failed write consumes the error that reading would report otherwise.
-		this.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-			.addListener((written) -> this.connectionReset |= !written.isSuccess());
+		if (body instanceof CompositeByteBuf parts) {
+			parts.forEach((part) -> this.channel.write(new DefaultHttpContent(part.retainedSlice())));
+			parts.release();
+			return;
+		}
+		this.channel.write(new DefaultHttpContent(body));
 	}
 
 	boolean isUsable(long nowNanos) {
@@ -245,6 +259,7 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+		MemoryExhaustion.exitIfCause(cause);
 		if (cause instanceof IOException) {
 			this.connectionReset = true;
 		}
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
@@ -27,6 +27,7 @@
 
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.telemetry.LogFields;
+import org.hemlockgw.gateway.telemetry.MemoryExhaustion;
 
 /**
  * Connections to other daemons, one for each address. A connection is replaced if the
@@ -181,6 +182,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+			MemoryExhaustion.exitIfCause(cause);
 			close(String.valueOf(cause));
 		}
 
--- a/gateway/src/test/java/org/hemlockgw/gateway/entry/TurnSessionTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/entry/TurnSessionTests.java
@@ -85,7 +85,7 @@
 				});
 		OwnerClient owner = new OwnerClient(membership, new ProgramOwner(membership, links), links);
 		Services services = new Services(this.loop, InstantSource.system(), System::nanoTime, null, () -> null,
-				new Shutdown(System::nanoTime), membership, owner, null, null, null, null, new Metrics());
+				new Shutdown(System::nanoTime), membership, owner, null, null, null, null, null, new Metrics());
 		return new TurnSession(services, new PeerMessage.OpenTurn("t", "p", null, 1000, 10, 60_000, 3000),
 				new Deadline(System::nanoTime, 3000), new RecordingListener(this.events::add));
 	}
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
@@ -1,6 +1,7 @@
 package org.hemlockgw.gateway.peer;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import org.hemlockgw.core.limit.MemoryBudget;
+import org.hemlockgw.core.limit.ProgressLimits;
+
 import static com.google.common.truth.Truth.assertThat;
 
 /**
@@ -33,6 +37,11 @@
 
 	private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
 
+	private static MemoryBudget newBudget() {
+		return new MemoryBudget(1 << 20, 1 << 20, System::nanoTime,
+				() -> ProgressLimits.of(Duration.ofSeconds(3), Duration.ofSeconds(15)));
+	}
+
 	@AfterEach
 	void stop() {
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -43,21 +52,22 @@
 	@ParameterizedTest
 	@CsvSource({ "whole, 5000, ok stored", "nothing, 200, failed", "part, 5000, ok failed", "refused, 5000, failed" })
 	void requestCompletesForAnyPeerBehaviour(String behaviour, long timeoutMs, String expected) throws Exception {
-		Channel listener = PeerListener.start(new InetSocketAddress("127.0.0.1", 0), this.loop, new PeerService() {
-			@Override
-			public void handle(String sender, PeerMessage message, Consumer<PeerMessage> reply) {
-				if (!behaviour.equals("nothing")) {
-					reply.accept(new PeerMessage.TurnOpened(TurnStatus.OK, false, true, new byte[0]));
-				}
-				if (behaviour.equals("whole")) {
-					reply.accept(new PeerMessage.ReservationStored(true));
-				}
-			}
+		Channel listener = PeerListener.start(new InetSocketAddress("127.0.0.1", 0), this.loop, newBudget(),
+				new PeerService() {
+					@Override
+					public void handle(String sender, PeerMessage message, Consumer<PeerMessage> reply) {
+						if (!behaviour.equals("nothing")) {
+							reply.accept(new PeerMessage.TurnOpened(TurnStatus.OK, false, true, new byte[0]));
+						}
+						if (behaviour.equals("whole")) {
+							reply.accept(new PeerMessage.ReservationStored(true));
+						}
+					}
 
-			@Override
-			public void connectionLost(String sender) {
-			}
-		});
+					@Override
+					public void connectionLost(String sender) {
+					}
+				});
 		int port = ((InetSocketAddress) listener.localAddress()).getPort();
 		if (behaviour.equals("refused")) {
 			listener.close().syncUninterruptibly();
