Close connections of daemons that do not read their replies

Cause: anyone who introduces itself at the port between daemons can send requests without reading; the replies were kept without a limit. Also, an exception in the periodic check of clients would have ended the check.

Change: a connection with more than 8 MB of unread replies is closed; the check logs exceptions and goes on. There is no test of this limit yet.

Measured: PeerLinksTests, PeerCodecTests, ResponseMemoryTests and MemoryBudgetTests pass. The tests that start daemons were not run on it.

--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -179,6 +179,16 @@
 				Math.min(sockets, (double) heapBytes / HEAP_PER_CONNECTION_BYTES));
 	}
 
+	// An exception would end the periodic task.
+	private void checkClients() {
+		try {
+			this.memoryBudget.check();
+		}
+		catch (RuntimeException ex) {
+			logger.error("checking the limits of clients failed", ex);
+		}
+	}
+
 	private ProgressLimits progressLimits() {
 		CallerLimits limits = callerLimits();
 		// A planned stop leaves connections alone on which a request has begun to arrive;
@@ -209,8 +219,7 @@
 		this.loop.execute(() -> {
 			this.membership.start();
 			this.services.crashingRequests().start();
-			this.loop.scheduleAtFixedRate(this.memoryBudget::check, LIMIT_CHECK_MS, LIMIT_CHECK_MS,
-					TimeUnit.MILLISECONDS);
+			this.loop.scheduleAtFixedRate(this::checkClients, LIMIT_CHECK_MS, LIMIT_CHECK_MS, TimeUnit.MILLISECONDS);
 			configuration.watch(this::applyConfiguration);
 			directory.watch((list) -> {
 				this.serverListReceived = true;
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerListener.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerListener.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
@@ -46,6 +47,12 @@
 	/** Size in bytes of a partial frame above which its memory is counted. */
 	private static final int COUNTED_FRAME_BYTES = 16 * 1024;
 
+	/**
+	 * Size in bytes of unread replies above which a connection is closed. A reply takes
+	 * less than 1 MiB.
+	 */
+	private static final long MAX_UNREAD_BYTES = 8 * 1024 * 1024;
+
 	private PeerListener() {
 	}
 
@@ -182,7 +189,8 @@
 
 		@Override
 		public long unsentBytes() {
-			return 0;
+			ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+			return (buffer != null) ? buffer.totalPendingWriteBytes() : 0;
 		}
 
 		@Override
@@ -198,6 +206,10 @@
 				return;
 			}
 			this.service.handle(this.sender, decoded.message(), (reply) -> {
+				if (unsentBytes() > MAX_UNREAD_BYTES) {
+					logger.info("closing the connection from peer '{}': it does not read replies", this.sender);
+					ctx.close();
+				}
 				if (ctx.channel().isActive()) {
 					PeerFrames.write(ctx.channel(), decoded.correlation(), reply);
 				}
