--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -1,6 +1,5 @@
 package org.hemlockgw.gateway.entry;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -12,7 +11,6 @@
 import org.jspecify.annotations.Nullable;
 
 import org.hemlockgw.core.account.AccountAccess;
-import org.hemlockgw.core.account.AccountScope;
 import org.hemlockgw.core.route.Pool;
 import org.hemlockgw.core.route.Route;
 import org.hemlockgw.core.route.RoutingTable;
@@ -27,36 +25,12 @@
 	/** Deadline in milliseconds for callers that specify none. */
 	private static final long DEFAULT_DEADLINE_MS = 30_000;
 
-	/**
-	 * Retry-After in milliseconds before a configuration is received; a start takes less
-	 * than a second.
-	 */
-	private static final long START_RETRY_AFTER_MS = 500;
-
 	/**
 	 * Retry-After in milliseconds while this daemon shuts down; the caller's next
 	 * connection reaches another daemon.
 	 */
 	private static final long SHUTDOWN_RETRY_AFTER_MS = 50;
 
-	/**
-	 * Maximum length of the identifiers of requests and programs in characters. They
-	 * become keys of at most 255 bytes in the store.
-	 */
-	private static final int MAX_IDENTIFIER_LENGTH = 120;
-
-	/**
-	 * Maximum length in bytes of an identifier with its account; the store's keys have
-	 * one byte in addition.
-	 */
-	private static final int MAX_QUALIFIED_BYTES = 254;
-
-	/**
-	 * Retry-After in milliseconds while the newest proof of the configuration is too old.
-	 * Another daemon is asked for one about three times a second.
-	 */
-	private static final long PROOF_RETRY_AFTER_MS = 300;
-
 	private static final byte[] NO_PROMPT = {};
 
 	private final Services services;
@@ -67,6 +41,9 @@
 
 	private final CallerRequest callerRequest;
 
+	/** Refusal before the body was received; null if there was none. */
+	private final @Nullable Refusal earlyRefusal;
+
 	private final RequestLog log;
 
 	private Deadline deadline;
@@ -87,11 +64,12 @@
 
 	private boolean ended;
 
-	Exchange(Services services, CallerConnection caller, FullHttpRequest request) {
+	Exchange(Services services, CallerConnection caller, ReceivedRequest received) {
 		this.services = services;
 		this.caller = caller;
-		this.request = request;
-		this.callerRequest = services.wireFormat().decode(request);
+		this.request = received.http();
+		this.callerRequest = received.parsed();
+		this.earlyRefusal = received.refusal();
 		this.deadline = new Deadline(services.nanoClock(),
 				(this.callerRequest.deadlineMs() > 0) ? this.callerRequest.deadlineMs() : DEFAULT_DEADLINE_MS);
 		this.log = new RequestLog(this.callerRequest, services.metrics(), services.nanoClock(), this.deadline);
@@ -102,29 +80,17 @@
 	}
 
 	void start() {
-		RoutingTable routes = this.services.routes().get();
-		if (routes == null) {
-			refuse(503, START_RETRY_AFTER_MS, "no configuration is known yet");
+		HeadDecision decision = HeadDecision.of(this.services, this.callerRequest);
+		Refusal refusal = (this.earlyRefusal != null) ? this.earlyRefusal : decision.refusal();
+		RoutingTable routes = decision.routes();
+		Route route = decision.route();
+		if (refusal != null) {
+			recordDeniedAccess(decision.access());
+			refuse(refusal);
 			return;
 		}
-		Route route = routes.match(this.callerRequest.host(), this.callerRequest.path());
-		if (route == null) {
-			refuse(404, 0, "no route");
-			return;
-		}
-		if (this.callerRequest.id().isEmpty()) {
-			refuse(400, 0, "request identifier is missing");
-			return;
-		}
-		AccountAccess.Decision access = AccountAccess.decide(routes.accounts(), route.publicAccess(),
-				this.services.proof().isValid(), this.callerRequest.credentials());
-		if (hasLongIdentifier(access.scope())) {
-			refuse(400, 0, "an identifier is longer than " + MAX_IDENTIFIER_LENGTH + " characters");
-			return;
-		}
-		if (access.outcome() != AccountAccess.Outcome.ACCEPTED) {
-			refuseAccess(access.outcome());
-			return;
+		if (routes == null || route == null) {
+			throw new IllegalStateException("a request without a route must be refused");
 		}
 		this.pool = route.selectPool(this.callerRequest.id().hashCode());
 		this.deadline = this.deadline.withLimit(Math.min(this.deadline.limitMs(), route.timeout().toMillis()));
@@ -133,7 +99,7 @@
 			endForShutdown();
 			return;
 		}
-		AdmittedRequest admitted = new AdmittedRequest(this.request, this.callerRequest, route, access.scope(),
+		AdmittedRequest admitted = new AdmittedRequest(this.request, this.callerRequest, route, decision.scope(),
 				this.pool);
 		PeerMessage.OpenTurn openTurn = admitted.toOpenTurn(this.deadline.remainingMs());
 		this.historyStored = route.historyStored();
@@ -155,23 +121,10 @@
 		session.open();
 	}
 
-	private boolean hasLongIdentifier(AccountScope scope) {
-		String program = this.callerRequest.program();
-		return isLong(scope, this.callerRequest.id()) || (program != null && isLong(scope, program));
-	}
-
-	private static boolean isLong(AccountScope scope, String identifier) {
-		return identifier.length() > MAX_IDENTIFIER_LENGTH
-				|| scope.qualify(identifier).getBytes(StandardCharsets.UTF_8).length > MAX_QUALIFIED_BYTES;
-	}
-
-	private void refuseAccess(AccountAccess.Outcome outcome) {
-		this.services.metrics()
-			.increment(Metrics.withLabel("access_refused", "reason", outcome.name().toLowerCase(Locale.ROOT)));
-		switch (outcome) {
-			case PROOF_TOO_OLD -> refuse(503, PROOF_RETRY_AFTER_MS, "configuration may be out of date");
-			case KEY_MISSING -> refuse(401, 0, "API key is missing");
-			default -> refuse(401, 0, "API key is unknown");
+	private void recordDeniedAccess(AccountAccess.Outcome outcome) {
+		if (outcome != AccountAccess.Outcome.ACCEPTED) {
+			this.services.metrics()
+				.increment(Metrics.withLabel("access_refused", "reason", outcome.name().toLowerCase(Locale.ROOT)));
 		}
 	}
 
@@ -287,6 +240,10 @@
 		this.caller.channel().close();
 	}
 
+	private void refuse(Refusal refusal) {
+		refuse(refusal.status(), refusal.retryAfterMs(), refusal.reason());
+	}
+
 	// Status 503 or 429 guarantees that the request has not run.
 	private void refuse(int preferredStatus, long retryAfterMs, String reason) {
 		if (this.ended) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Services.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.hemlockgw.core.account.ConfigurationProof;
+import org.hemlockgw.core.limit.MemoryBudget;
 import org.hemlockgw.core.route.RoutingTable;
 import org.hemlockgw.gateway.net.HttpConnections;
 import org.hemlockgw.gateway.owner.Membership;
@@ -31,6 +32,7 @@
  * @param serverConnections connections to backend servers
  * @param crashingRequests requests during which servers were lost
  * @param responseMemory memory for responses of backend servers
+ * @param memoryBudget memory that is held for callers
  * @param metrics metrics of this daemon
  * @param proof proof that the configuration is the newest one
  * @param permits client of the holders of client accounts
@@ -38,5 +40,6 @@
 public record Services(EventLoop loop, InstantSource clock, LongSupplier nanoClock, WireFormat wireFormat,
 		Supplier<@Nullable RoutingTable> routes, Shutdown shutdown, Membership membership, OwnerClient ownerClient,
 		SlotClient slotClient, HttpConnections serverConnections, CrashingRequests crashingRequests,
-		ResponseMemory responseMemory, Metrics metrics, ConfigurationProof proof, PermitClient permits) {
+		ResponseMemory responseMemory, MemoryBudget memoryBudget, Metrics metrics, ConfigurationProof proof,
+		PermitClient permits) {
 }
