Let routes closed by slow tools reopen

Learned pauses never aged, so that after an outage of the tools no program could begin any more, not even in an idle pool. Their excess now halves each second without a sample, a route without programs under way takes one as a probe, and while a fifth of the slots is free the rule applies only if the programs under way could occupy all slots.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -163,7 +163,7 @@
 			this.programs.profile(request.route()).recordObjective(request.programRemainingMs());
 		}
 		return this.admission.check(request, this.servers.slotCount(), this.servers.hasSpareSlots(),
-				!this.waits.isOpen(this.averageDurationMs));
+				!this.waits.isOpen(this.averageDurationMs), this.nanoClock.getAsLong());
 	}
 
 	private long retryAfterMs(SlotRequest request) {
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
@@ -30,12 +30,16 @@
 	 * @param slots number of slots of the pool
 	 * @param spare whether slots are free
 	 * @param startedWait whether requests of started programs wait
+	 * @param nowNanos current time
 	 * @return why the program is refused, or null if it may begin
 	 */
-	@Nullable RefusalReason check(SlotRequest request, long slots, boolean spare, boolean startedWait) {
+	@Nullable RefusalReason check(SlotRequest request, long slots, boolean spare, boolean startedWait, long nowNanos) {
 		this.returns.remove(request);
 		RouteProfile profile = this.programs.profile(request.route());
-		if (profile.isSlowedByPauses()) {
+		// Free slots are spare only beyond those that the programs in the tools need when
+		// they come back.
+		boolean needed = !spare || this.programs.activeCount() >= slots;
+		if (needed && profile.isSlowedByPauses(nowNanos)) {
 			return RefusalReason.SLOW_TOOLS;
 		}
 		if (spare) {
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
@@ -34,6 +34,8 @@
 
 	private double demand;
 
+	private int activeCount;
+
 	/**
 	 * Returns the profile of a route.
 	 * @param route name of the route
@@ -54,7 +56,7 @@
 	void recordArrival(SlotRequest request, long nowNanos) {
 		Program program = find(request);
 		if (program != null && program.openTurns == 0) {
-			program.profile.recordPause((nowNanos - program.idleSinceNanos) / NANOS_PER_MS);
+			program.profile.recordPause((nowNanos - program.idleSinceNanos) / NANOS_PER_MS, nowNanos);
 			program.profile.recordContinuation(program.turnsDone, true);
 			setDemand(program, program.profile.slotsPerProgram());
 		}
@@ -145,6 +147,14 @@
 		return Math.max(0, this.demand);
 	}
 
+	/**
+	 * Returns the number of programs that are expected to run further turns.
+	 * @return number of programs
+	 */
+	int activeCount() {
+		return this.activeCount;
+	}
+
 	/**
 	 * Returns the average number of slots that the programs of an account occupy.
 	 * @param account name of the account
@@ -172,7 +182,9 @@
 
 	private void setDemand(Program program, double slots) {
 		double change = slots - program.demand;
-		program.profile.changeActivePrograms(((slots > 0) ? 1 : 0) - ((program.demand > 0) ? 1 : 0));
+		int activeChange = ((slots > 0) ? 1 : 0) - ((program.demand > 0) ? 1 : 0);
+		this.activeCount += activeChange;
+		program.profile.changeActivePrograms(activeChange);
 		program.demand = slots;
 		this.demand += change;
 		double accountDemand = this.demandByAccount.merge(program.account, change, Double::sum);
--- a/core/src/main/java/org/hemlockgw/core/pool/RouteProfile.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/RouteProfile.java
@@ -39,6 +39,15 @@
 	 */
 	private static final int MIN_ENDED = 20;
 
+	/**
+	 * Time in milliseconds in which the excess of the pauses over the shortest known ones
+	 * halves without a new sample. Without it, an outage of the tools kept a route closed
+	 * after they had recovered, because no program was left to show that.
+	 */
+	private static final double PAUSE_HALF_LIFE_MS = 1000;
+
+	private static final double NANOS_PER_MS = 1_000_000;
+
 	private final double[] continuation = new double[MAX_TURNS];
 
 	private final int[] continuationSamples = new int[MAX_TURNS];
@@ -59,6 +68,8 @@
 
 	private double shortestPauseMs = Double.MAX_VALUE;
 
+	private long pausedNanos;
+
 	RouteProfile() {
 		Arrays.fill(this.continuation, INITIAL_CONTINUATION);
 	}
@@ -67,7 +78,8 @@
 		this.turnMs.add(durationMs);
 	}
 
-	void recordPause(double durationMs) {
+	void recordPause(double durationMs, long nowNanos) {
+		this.pausedNanos = nowNanos;
 		this.pauseMs.add(durationMs);
 		this.latestPauseMs.add(durationMs);
 		this.activeAtPause.add(this.activePrograms);
@@ -161,11 +173,13 @@
 	/**
 	 * Returns whether the time between turns has grown so much that another program would
 	 * miss its objective. The pauses of a saturated pool of tools are proportional to the
-	 * number of programs, so fewer programs reopen the route.
+	 * number of programs, so fewer programs reopen the route. Without programs under way
+	 * one may begin, which shows whether the tools have recovered.
+	 * @param nowNanos current time
 	 * @return whether pauses make programs late
 	 */
-	boolean isSlowedByPauses() {
-		if (this.pauseMs.samples < MAX_PAUSE_SAMPLES || this.endedPrograms < MIN_ENDED
+	boolean isSlowedByPauses(long nowNanos) {
+		if (this.activePrograms == 0 || this.pauseMs.samples < MAX_PAUSE_SAMPLES || this.endedPrograms < MIN_ENDED
 				|| this.objectiveMs.samples == 0) {
 			return false;
 		}
@@ -175,7 +189,9 @@
 			return false;
 		}
 		double relativeCount = (this.activePrograms + 1) / Math.max(1, this.activeAtPause.value);
-		double currentPauseMs = Math.min(this.pauseMs.value, this.latestPauseMs.value);
+		double latestMs = Math.min(this.pauseMs.value, this.latestPauseMs.value);
+		double decay = Math.pow(0.5, (nowNanos - this.pausedNanos) / NANOS_PER_MS / PAUSE_HALF_LIFE_MS);
+		double currentPauseMs = this.shortestPauseMs + (latestMs - this.shortestPauseMs) * decay;
 		return (turns - 1) * currentPauseMs * Math.min(1, relativeCount) > availableMs;
 	}
 
