Account for each slot request once and skip failed daemons

A request that was submitted twice leaked its first slot or left the queue without an answer, a restored grant left its request in the queue, releaseAll granted freed slots to the failed daemon, and restored grants fed the duration estimates with a part of their time. An earlier grant or entry is now removed first, the failed daemon's entries are cancelled before its slots are released, and SlotClient releases the slot at the remote scheduler when it falls back to its own. The five new tests of SlotAccountingTests failed before and are green; LoadTests, PoolSchedulerTests, SlotQueueTests, ReturnScheduleTests and WaitBasedAdmissionTests are green.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -1,6 +1,5 @@
 package org.hemlockgw.core.pool;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -113,6 +112,7 @@
 	 */
 	public void submit(SlotRequest request, Consumer<SlotDecision> answer) {
 		long now = this.nanoClock.getAsLong();
+		removeEarlier(request.id(), now);
 		this.programs.recordArrival(request, now);
 		QueuedRequest entry = toEntry(request, answer, now);
 		if (isNewProgram(request)) {
@@ -144,6 +144,24 @@
 		grantQueuedRequests();
 	}
 
+	// A request that was sent again, after its answer was lost, would otherwise hold two
+	// slots, or its first entry would leave the queue without an answer.
+	private void removeEarlier(String id, long now) {
+		Grant grant = this.grants.remove(id);
+		if (grant != null) {
+			releaseUnmeasured(grant, now);
+		}
+		QueuedRequest queued = this.queue.remove(id);
+		if (queued != null) {
+			queued.answer().accept(SlotDecision.refused(Math.round(this.averageDurationMs), "request was sent again"));
+		}
+	}
+
+	private void releaseUnmeasured(Grant grant, long now) {
+		this.programs.recordRelease(grant.request, -1, now);
+		this.servers.release(grant.server, grant.request, grant.warm, ResponseTiming.NONE, 0, now);
+	}
+
 	private QueuedRequest toEntry(SlotRequest request, Consumer<SlotDecision> answer, long now) {
 		RouteProfile profile = this.programs.profile(request.route());
 		long lateAt = Long.MAX_VALUE;
@@ -244,6 +262,15 @@
 			return;
 		}
 		long now = this.nanoClock.getAsLong();
+		if (grant.restored) {
+			// It is not known when the earlier scheduler granted the slot.
+			releaseUnmeasured(grant, now);
+			if (failed) {
+				grant.server.avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
+			}
+			grantQueuedRequests();
+			return;
+		}
 		PoolServer server = grant.server;
 		double durationMs = (now - grant.grantedAtNanos) / (double) NANOS_PER_MS;
 		this.programs.recordRelease(grant.request, (failed || timing.units() == 0) ? -1 : durationMs, now);
@@ -258,16 +285,18 @@
 	}
 
 	/**
-	 * Records a slot that an earlier scheduler of this pool granted.
+	 * Records a slot that an earlier scheduler of this pool granted. The request leaves
+	 * the queue without an answer, because its daemon already has one.
 	 * @param request the request that holds the slot
 	 * @param serverId identifier of the server
 	 */
 	public void restoreGrant(SlotRequest request, String serverId) {
+		this.queue.remove(request.id());
 		PoolServer server = this.servers.find(serverId);
 		if (server != null && !this.grants.containsKey(request.id())) {
 			long now = this.nanoClock.getAsLong();
 			boolean warm = this.servers.occupy(server, request, now);
-			this.grants.put(request.id(), new Grant(server, request, now, warm));
+			this.grants.put(request.id(), new Grant(server, request, now, warm, true));
 			this.programs.recordGrant(request, now);
 		}
 	}
@@ -277,18 +306,19 @@
 	 * @param holder name of the daemon
 	 */
 	public void releaseAll(String holder) {
-		List<String> requestIds = new ArrayList<>();
-		this.grants.forEach((id, grant) -> {
-			if (grant.request.holder().equals(holder)) {
-				requestIds.add(id);
-			}
-		});
-		requestIds.forEach((id) -> release(id, 0, false));
 		for (QueuedRequest entry : this.queue.entries()) {
 			if (entry.request().holder().equals(holder)) {
 				cancel(entry.request().id());
 			}
 		}
+		long now = this.nanoClock.getAsLong();
+		for (Grant grant : List.copyOf(this.grants.values())) {
+			if (grant.request.holder().equals(holder)) {
+				this.grants.remove(grant.request.id());
+				releaseUnmeasured(grant, now);
+			}
+		}
+		grantQueuedRequests();
 	}
 
 	/**
@@ -301,8 +331,7 @@
 		while (iterator.hasNext()) {
 			Grant grant = iterator.next();
 			if (now - grant.grantedAtNanos > (grant.request.remainingMs() + GRANT_TIMEOUT_MARGIN_MS) * NANOS_PER_MS) {
-				grant.server.release(grant.request.id());
-				this.programs.recordRelease(grant.request, -1, now);
+				releaseUnmeasured(grant, now);
 				iterator.remove();
 			}
 		}
@@ -412,11 +441,11 @@
 		this.programs.recordGrant(request, now);
 		this.listener.granted(request.priority(), Math.round(waitMs));
 		boolean warm = this.servers.occupy(server, request, now);
-		this.grants.put(request.id(), new Grant(server, request, now, warm));
+		this.grants.put(request.id(), new Grant(server, request, now, warm, false));
 		entry.answer().accept(SlotDecision.granted(server.member()));
 	}
 
-	private record Grant(PoolServer server, SlotRequest request, long grantedAtNanos, boolean warm) {
+	private record Grant(PoolServer server, SlotRequest request, long grantedAtNanos, boolean warm, boolean restored) {
 	}
 
 }
--- /dev/null
+++ b/core/src/test/java/org/hemlockgw/core/pool/SlotAccountingTests.java
@@ -0,0 +1,117 @@
+package org.hemlockgw.core.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of the slots, memory and queue entries that {@link PoolScheduler} accounts for.
+ */
+class SlotAccountingTests {
+
+	private long nowMs;
+
+	private final PoolScheduler scheduler = new PoolScheduler(() -> this.nowMs * 1_000_000);
+
+	private final List<String> granted = new ArrayList<>();
+
+	private final List<String> refused = new ArrayList<>();
+
+	// Guards against a slot that stays occupied because a second grant with the same
+	// identifier replaced the first one.
+	@Test
+	void repeatedRequestReleasesItsFirstSlot() {
+		update("s1", "s2");
+		submit("a", "d1");
+		submit("a", "d1");
+		this.scheduler.release("a", 1, false);
+		submit("b", "d1");
+		submit("c", "d1");
+		assertThat(this.granted).containsExactly("a", "a", "b", "c").inOrder();
+	}
+
+	// Guards against a queued request that is dropped without an answer when it is sent
+	// again.
+	@Test
+	void repeatedQueuedRequestIsAnswered() {
+		update("s1");
+		submit("x", "d1");
+		submit("a", "d1");
+		submit("a", "d1");
+		assertThat(this.refused).containsExactly("a");
+		assertThat(this.scheduler.queued()).isEqualTo(1);
+	}
+
+	// Guards against a second slot for a request that another scheduler has served.
+	@Test
+	void restoredGrantLeavesQueue() {
+		update("s1");
+		submit("x", "d1");
+		submit("a", "d1");
+		this.scheduler.restoreGrant(request("a", "d1", 0), "s1");
+		assertThat(this.scheduler.queued()).isEqualTo(0);
+	}
+
+	// Guards against slots that are granted to the requests of a daemon that has failed.
+	@Test
+	void failedDaemonReceivesNoSlots() {
+		update("s1");
+		submit("a", "d1");
+		submit("b", "d1");
+		submit("c", "d2");
+		this.scheduler.releaseAll("d1");
+		assertThat(this.granted).containsExactly("a", "c").inOrder();
+	}
+
+	// Guards against estimates that are learned from a part of a request's time.
+	@Test
+	void restoredGrantDoesNotChangeEstimates() {
+		update("s1");
+		for (int i = 0; i < 60; i++) {
+			this.scheduler.restoreGrant(request("r" + i, "d1", 0), "s1");
+			this.nowMs += 10_000;
+			this.scheduler.release("r" + i, 1, false);
+		}
+		submit("a", "d1");
+		submit("b", "d1");
+		assertThat(this.refused).isEmpty();
+	}
+
+	private void update(String... ids) {
+		update(1, ids);
+	}
+
+	private void update(int slots, String... ids) {
+		List<PoolMember> members = new ArrayList<>();
+		for (String id : ids) {
+			members.add(member(id, slots));
+		}
+		this.scheduler.updateServers(members);
+	}
+
+	private static PoolMember member(String id, int slots) {
+		return new PoolMember(id, "pool", "127.0.0.1:1", "a", slots, false, 0);
+	}
+
+	private void submit(String id, String holder) {
+		submit(request(id, holder, 0));
+	}
+
+	private void submit(SlotRequest request) {
+		this.scheduler.submit(request, (answer) -> record(request.id(), answer));
+	}
+
+	private void record(String id, SlotDecision answer) {
+		((answer.serverId() != null) ? this.granted : this.refused).add(id);
+	}
+
+	private static SlotRequest request(String id, String holder, int maxTokens) {
+		return new SlotRequest(id, holder, "", "", 0, true, Long.MAX_VALUE, 250, 3000, List.of(), maxTokens, Set.of(),
+				Set.of());
+	}
+
+}
--- a/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/slots/SlotClient.java
@@ -235,6 +235,11 @@
 					@Override
 					public void onFailure(String cause) {
 						if (SlotClient.this.openSlots.contains(slot)) {
+							// It may have granted or queued the request although its
+							// reply is
+							// missing.
+							SlotClient.this.peerLinks.sendOneWay(address,
+									new PeerMessage.ReleaseSlot(pool, request.id(), ResponseTiming.NONE, false));
 							logger.atInfo()
 								.addKeyValue(LogFields.REQUEST, request.id())
 								.addKeyValue(LogFields.POOL, pool)
