Count waiting turns as demand and only completed turns as done

Programs whose turn waited in the queue counted as ended, so an overloaded pool admitted more of them, and queued first turns had no demand. Failed attempts counted as turns, their retries as pauses of 0 ms, and refused requests that returned recorded growing pauses. Waiting turns now count like open ones, a turn is counted when it was completed, and a pause once after each completed turn. ProgramsUnderWayTests, LoadTests, OverloadTests, PoolSchedulerTests and SlotAccountingTests are green; ProgramsUnderWayTests uses the new methods and was not run on the former code.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -141,6 +141,7 @@
 			return;
 		}
 		this.queue.add(entry, now);
+		this.programs.recordQueued(request, now);
 		grantQueuedRequests();
 	}
 
@@ -151,12 +152,20 @@
 		if (grant != null) {
 			releaseUnmeasured(grant, now);
 		}
-		QueuedRequest queued = this.queue.remove(id);
+		QueuedRequest queued = removeQueued(id);
 		if (queued != null) {
 			queued.answer().accept(SlotDecision.refused(Math.round(this.averageDurationMs), "request was sent again"));
 		}
 	}
 
+	private @Nullable QueuedRequest removeQueued(String id) {
+		QueuedRequest entry = this.queue.remove(id);
+		if (entry != null) {
+			this.programs.recordDequeued(entry.request(), this.nanoClock.getAsLong());
+		}
+		return entry;
+	}
+
 	private void releaseUnmeasured(Grant grant, long now) {
 		this.programs.recordRelease(grant.request, -1, now);
 		this.servers.release(grant.server, grant.request, grant.warm, ResponseTiming.NONE, 0, now);
@@ -236,7 +245,7 @@
 	 * @param id identifier of the request
 	 */
 	public void cancel(String id) {
-		this.queue.remove(id);
+		removeQueued(id);
 	}
 
 	/**
@@ -291,7 +300,7 @@
 	 * @param serverId identifier of the server
 	 */
 	public void restoreGrant(SlotRequest request, String serverId) {
-		this.queue.remove(request.id());
+		removeQueued(request.id());
 		PoolServer server = this.servers.find(serverId);
 		if (server != null && !this.grants.containsKey(request.id())) {
 			long now = this.nanoClock.getAsLong();
@@ -379,7 +388,9 @@
 	}
 
 	private void refuseOverdue() {
-		for (QueuedRequest entry : this.queue.removeExpired(this.nanoClock.getAsLong())) {
+		long now = this.nanoClock.getAsLong();
+		for (QueuedRequest entry : this.queue.removeExpired(now)) {
+			this.programs.recordDequeued(entry.request(), now);
 			long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request())
 					: Math.round(this.averageDurationMs);
 			refuse(entry, RefusalReason.WAITED, retryAfterMs, "waited too long for a slot");
@@ -402,7 +413,7 @@
 			}
 		});
 		hopeless.forEach((entry, waitMs) -> {
-			if (this.queue.remove(entry.request().id()) != null) {
+			if (removeQueued(entry.request().id()) != null) {
 				refuseForWait(entry, waitMs);
 			}
 		});
@@ -439,6 +450,7 @@
 			this.waits.recordWait(waitMs);
 		}
 		this.programs.recordGrant(request, now);
+		this.programs.recordDequeued(request, now);
 		this.listener.granted(request.priority(), Math.round(waitMs));
 		boolean warm = this.servers.occupy(server, request, now);
 		this.grants.put(request.id(), new Grant(server, request, now, warm, false));
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
@@ -49,19 +49,65 @@
 	}
 
 	/**
-	 * Records the arrival of a request of a program that has begun.
+	 * Records the arrival of a request of a program that has begun. The first one after a
+	 * completed turn ends the pause; one that returns after a refusal doesn't.
 	 * @param request the request
 	 * @param nowNanos current time
 	 */
 	void recordArrival(SlotRequest request, long nowNanos) {
 		Program program = find(request);
-		if (program != null && program.openTurns == 0) {
+		if (program != null && program.pausing) {
+			program.pausing = false;
 			program.profile.recordPause((nowNanos - program.idleSinceNanos) / NANOS_PER_MS, nowNanos);
 			program.profile.recordContinuation(program.turnsDone, true);
 			setDemand(program, program.profile.slotsPerProgram());
 		}
 	}
 
+	/**
+	 * Records that a request waits for a slot. Its program needs one at least as much as
+	 * those that hold one.
+	 * @param request the request
+	 * @param nowNanos current time
+	 */
+	void recordQueued(SlotRequest request, long nowNanos) {
+		if (!request.program().isEmpty()) {
+			Program program = findOrAdd(request, nowNanos);
+			program.waitingTurns++;
+			setDemand(program, program.profile.slotsPerProgram());
+		}
+	}
+
+	/**
+	 * Records that a request doesn't wait any more, after its grant was recorded if it
+	 * received a slot.
+	 * @param request the request
+	 * @param nowNanos current time
+	 */
+	void recordDequeued(SlotRequest request, long nowNanos) {
+		Program program = find(request);
+		if (program == null || program.waitingTurns == 0) {
+			return;
+		}
+		program.waitingTurns--;
+		if (program.isActive()) {
+			return;
+		}
+		program.idleSinceNanos = nowNanos;
+		if (program.begun) {
+			setDemand(program, program.profile.slotsPerProgram() * program.profile.continuation(program.turnsDone));
+		}
+		else {
+			setDemand(program, 0);
+			this.programs.remove(key(request));
+		}
+	}
+
+	private Program findOrAdd(SlotRequest request, long nowNanos) {
+		return this.programs.computeIfAbsent(key(request),
+				(key) -> new Program(request.account(), profile(request.route()), nowNanos));
+	}
+
 	/**
 	 * Records that a request has received a slot.
 	 * @param request the request
@@ -71,8 +117,8 @@
 		if (request.program().isEmpty()) {
 			return;
 		}
-		Program program = this.programs.computeIfAbsent(key(request),
-				(key) -> new Program(request.account(), profile(request.route()), nowNanos));
+		Program program = findOrAdd(request, nowNanos);
+		program.begun = true;
 		program.openTurns++;
 		if (request.programRemainingMs() != Long.MAX_VALUE) {
 			program.objectiveEndNanos = nowNanos + Math.round(request.programRemainingMs() * NANOS_PER_MS);
@@ -83,8 +129,8 @@
 	/**
 	 * Records that a request has released its slot.
 	 * @param request the request
-	 * @param durationMs time in the slot in milliseconds; negative if it says nothing
-	 * about the route
+	 * @param durationMs time in the slot in milliseconds; negative if no turn was
+	 * completed
 	 * @param nowNanos current time
 	 */
 	void recordRelease(SlotRequest request, double durationMs, long nowNanos) {
@@ -96,9 +142,12 @@
 			return;
 		}
 		program.openTurns--;
-		program.turnsDone++;
 		program.idleSinceNanos = nowNanos;
-		if (program.openTurns == 0) {
+		if (durationMs >= 0) {
+			program.turnsDone++;
+			program.pausing = true;
+		}
+		if (!program.isActive()) {
 			setDemand(program, program.profile.slotsPerProgram() * program.profile.continuation(program.turnsDone));
 		}
 	}
@@ -112,7 +161,7 @@
 		while (iterator.hasNext()) {
 			Program program = iterator.next();
 			double idleMs = (nowNanos - program.idleSinceNanos) / NANOS_PER_MS;
-			if (program.openTurns > 0) {
+			if (program.isActive()) {
 				continue;
 			}
 			if (idleMs < Math.max(MIN_IDLE_MS, MAX_PAUSES * program.profile.pauseMs())) {
@@ -123,7 +172,9 @@
 			setDemand(program, 0);
 			// It may wait for a slow tool until its objective has passed.
 			if (nowNanos - program.objectiveEndNanos >= 0) {
-				program.profile.recordContinuation(program.turnsDone, false);
+				if (program.pausing) {
+					program.profile.recordContinuation(program.turnsDone, false);
+				}
 				iterator.remove();
 			}
 		}
@@ -202,8 +253,15 @@
 
 		private int openTurns;
 
+		private int waitingTurns;
+
 		private int turnsDone;
 
+		private boolean begun;
+
+		// Whether the last activity was a completed turn.
+		private boolean pausing;
+
 		private long idleSinceNanos;
 
 		private long objectiveEndNanos;
@@ -217,6 +275,10 @@
 			this.objectiveEndNanos = nowNanos;
 		}
 
+		boolean isActive() {
+			return this.openTurns > 0 || this.waitingTurns > 0;
+		}
+
 	}
 
 }
