Reserve a server for requests that need much memory

A request that needs much memory was passed by small ones until its deadline, one that declared more tokens than an engine has blocked whole engines, small requests waited behind queued ones that didn't fit, and admission took a pool without free memory for a spare one. The three new tests of SlotAccountingTests failed before and are green; LoadTests, OverloadTests, PlacementTests, PoolSchedulerTests, PoolServersTests and SlotQueueTests are green.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -59,6 +59,8 @@
 
 	private final PoolServers servers = new PoolServers();
 
+	private final MemoryReservation reservation = new MemoryReservation(this.servers);
+
 	private final Map<String, Grant> grants = new HashMap<>();
 
 	private final SlotQueue queue = new SlotQueue();
@@ -101,6 +103,7 @@
 	 */
 	public void updateServers(List<PoolMember> members) {
 		this.servers.update(members);
+		this.reservation.update();
 		grantQueuedRequests();
 	}
 
@@ -122,7 +125,9 @@
 				return;
 			}
 		}
-		PoolServer server = this.queue.isEmpty() ? select(request) : null;
+		// Queued requests are granted as soon as they fit, so a free server that fits this
+		// request fits none of them.
+		PoolServer server = select(request);
 		if (server != null) {
 			grant(server, entry);
 			return;
@@ -159,6 +164,7 @@
 	}
 
 	private @Nullable QueuedRequest removeQueued(String id) {
+		this.reservation.remove(id);
 		QueuedRequest entry = this.queue.remove(id);
 		if (entry != null) {
 			this.programs.recordDequeued(entry.request(), this.nanoClock.getAsLong());
@@ -391,6 +397,7 @@
 		long now = this.nanoClock.getAsLong();
 		for (QueuedRequest entry : this.queue.removeExpired(now)) {
 			this.programs.recordDequeued(entry.request(), now);
+			this.reservation.remove(entry.request().id());
 			long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request())
 					: Math.round(this.averageDurationMs);
 			refuse(entry, RefusalReason.WAITED, retryAfterMs, "waited too long for a slot");
@@ -429,6 +436,9 @@
 		while (!this.queue.isEmpty() && this.servers.hasFreeSlot()) {
 			QueuedRequest entry = this.queue.poll(this.nanoClock.getAsLong(), (candidate) -> {
 				selected[0] = select(candidate.request());
+				if (selected[0] == null) {
+					this.reservation.recordPassed(candidate.request());
+				}
 				return selected[0] != null;
 			});
 			if (entry == null) {
@@ -451,6 +461,8 @@
 		}
 		this.programs.recordGrant(request, now);
 		this.programs.recordDequeued(request, now);
+		this.reservation.recordGrant();
+		this.reservation.remove(request.id());
 		this.listener.granted(request.priority(), Math.round(waitMs));
 		boolean warm = this.servers.occupy(server, request, now);
 		this.grants.put(request.id(), new Grant(server, request, now, warm, false));
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolServer.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolServer.java
@@ -50,6 +50,8 @@
 
 	private double recentRequests;
 
+	private @Nullable String reservedFor;
+
 	private long avoidedUntilNanos = Long.MIN_VALUE / 2;
 
 	PoolServer(PoolMember member) {
@@ -81,6 +83,18 @@
 		return !this.member.draining() && inFlight() < this.member.slots();
 	}
 
+	/**
+	 * Keeps free slots and memory for one request.
+	 * @param request identifier of the request; null for any
+	 */
+	void reserveFor(@Nullable String request) {
+		this.reservedFor = request;
+	}
+
+	boolean isOpenTo(String request) {
+		return this.reservedFor == null || this.reservedFor.equals(request);
+	}
+
 	/**
 	 * Returns whether a request fits into the memory besides the running ones.
 	 * @param tokens tokens of its prompt and its response
@@ -88,7 +102,8 @@
 	 * @return whether it fits; always true for an idle server
 	 */
 	boolean hasMemory(long tokens, int memoryTokens) {
-		return memoryTokens == 0 || this.occupations.isEmpty() || this.runningTokens + tokens <= memoryTokens;
+		return memoryTokens == 0 || this.occupations.isEmpty()
+				|| this.runningTokens + Math.min(tokens, memoryTokens) <= memoryTokens;
 	}
 
 	long runningTokens() {
@@ -96,13 +111,18 @@
 	}
 
 	/**
-	 * Occupies a slot.
+	 * Occupies a slot. Callers declare the tokens, so a request counts with no more than
+	 * the memory of the server.
 	 * @param request the request
 	 * @param memoryTokens memory of the server in tokens; 0 if unknown
 	 */
 	void occupy(SlotRequest request, int memoryTokens) {
 		long promptTokens = countTokens(request.prompt());
 		long output = Math.max(0, request.maxTokens());
+		if (memoryTokens > 0) {
+			promptTokens = Math.min(promptTokens, memoryTokens);
+			output = Math.min(output, memoryTokens - promptTokens);
+		}
 		Occupation occupation = new Occupation(promptTokens, output, uncachedTokens(request.prompt()), inFlight() + 1);
 		this.occupations.put(request.id(), occupation);
 		this.runningTokens += promptTokens + output;
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolServers.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolServers.java
@@ -78,16 +78,24 @@
 	}
 
 	/**
-	 * Returns whether so many slots are free that new programs cannot harm others.
+	 * Returns whether so many slots and so much memory are free that new programs cannot
+	 * harm others.
 	 * @return whether the pool has spare slots
 	 */
 	boolean hasSpareSlots() {
 		long slots = slotCount();
 		int inFlight = 0;
+		long memoryTokens = 0;
+		long runningTokens = 0;
 		for (PoolServer server : this.byId.values()) {
-			inFlight += server.member().draining() ? 0 : server.inFlight();
+			if (!server.member().draining()) {
+				inFlight += server.inFlight();
+				memoryTokens += this.choice.memoryTokens();
+				runningTokens += server.runningTokens();
+			}
 		}
-		return slots - inFlight > SPARE_SLOTS_FRACTION * slots;
+		boolean spareMemory = memoryTokens == 0 || memoryTokens - runningTokens > SPARE_SLOTS_FRACTION * memoryTokens;
+		return spareMemory && slots - inFlight > SPARE_SLOTS_FRACTION * slots;
 	}
 
 	/**
@@ -101,6 +109,21 @@
 		return this.choice.select(this.servers, request, averageDurationMs, nowNanos);
 	}
 
+	/**
+	 * Returns the server that is closest to having memory for a request.
+	 * @param request the request
+	 * @return null if the memory is unknown or no server is available
+	 */
+	@Nullable PoolServer findLeastOccupied(SlotRequest request) {
+		if (this.choice.memoryTokens() == 0) {
+			return null;
+		}
+		return this.servers.stream()
+			.filter((server) -> !server.member().draining() && !request.excluded().contains(server.member().id()))
+			.min(Comparator.comparingLong(PoolServer::runningTokens))
+			.orElse(null);
+	}
+
 	/**
 	 * Places a request at a server.
 	 * @param server the server
--- a/core/src/main/java/org/hemlockgw/core/pool/ServerChoice.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ServerChoice.java
@@ -122,7 +122,8 @@
 		for (int i = 0; i < servers.size(); i++) {
 			PoolServer server = servers.get(i);
 			this.costs[i] = Double.MAX_VALUE;
-			if (!server.hasFreeSlot() || request.excluded().contains(server.member().id())
+			if (!server.hasFreeSlot() || !server.isOpenTo(request.id())
+					|| request.excluded().contains(server.member().id())
 					|| !server.hasMemory(neededTokens, this.memoryTokens)) {
 				continue;
 			}
--- a/core/src/test/java/org/hemlockgw/core/pool/SlotAccountingTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/SlotAccountingTests.java
@@ -67,6 +67,47 @@
 		assertThat(this.granted).containsExactly("a", "c").inOrder();
 	}
 
+	// Guards against a request that needs much memory and is passed by small ones until
+	// its deadline.
+	@Test
+	void largeRequestIsNotPassedForever() {
+		update(4, "s1");
+		this.scheduler.setMemoryTokens(1000);
+		submit(request("small0", "d1", 400));
+		submit(request("small1", "d1", 400));
+		submit(request("large", "d1", 900));
+		for (int i = 2; i < 60 && !this.granted.contains("large"); i++) {
+			submit(request("small" + i, "d1", 400));
+			this.nowMs += 10;
+			this.scheduler.release("small" + (i - 2), 1, false);
+		}
+		assertThat(this.granted).contains("large");
+	}
+
+	// Guards against requests that declare more tokens than an engine has and then block
+	// the memory of others.
+	@Test
+	void declaredTokensCountAtMostAsMemory() {
+		PoolServer server = new PoolServer(member("s1", 4));
+		server.occupy(request("a", "d1", Integer.MAX_VALUE), 1000);
+		assertThat(server.runningTokens()).isEqualTo(1000);
+		server.release("a");
+		assertThat(server.runningTokens()).isEqualTo(0);
+	}
+
+	// Guards against small requests that wait behind one that doesn't fit into any
+	// server's memory at the moment.
+	@Test
+	void smallRequestIsGrantedBesideWaitingLargeOne() {
+		update(4, "s1");
+		this.scheduler.setMemoryTokens(1000);
+		submit(request("a", "d1", 500));
+		submit(request("large", "d1", 900));
+		this.scheduler.submit(new SlotRequest("new", "d1", "", "", 0, false, Long.MAX_VALUE, 4, 3000, List.of(), 100,
+				Set.of(), Set.of()), (answer) -> record("new", answer));
+		assertThat(this.granted).containsExactly("a", "new").inOrder();
+	}
+
 	// Guards against estimates that are learned from a part of a request's time.
 	@Test
 	void restoredGrantDoesNotChangeEstimates() {
