Spread the returns of refused programs that have no place

All callers beyond the limit got the same Retry-After and returned at the same moment. They now get times between half of the limit and the limit, which is at least 100 ms. Objectives are learned only from programs that begin, as refused ones come back with less time.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -125,7 +125,8 @@
 				return;
 			}
 		}
-		// Queued requests are granted as soon as they fit, so a free server that fits this
+		// Queued requests are granted as soon as they fit, so a free server that fits
+		// this
 		// request fits none of them.
 		PoolServer server = select(request);
 		if (server != null) {
@@ -192,9 +193,6 @@
 	}
 
 	private @Nullable RefusalReason checkNewProgram(SlotRequest request) {
-		if (request.programRemainingMs() != Long.MAX_VALUE) {
-			this.programs.profile(request.route()).recordObjective(request.programRemainingMs());
-		}
 		return this.admission.check(request, this.servers.slotCount(), this.servers.hasSpareSlots(),
 				!this.waits.isOpen(this.averageDurationMs), this.nanoClock.getAsLong());
 	}
@@ -456,6 +454,9 @@
 		SlotRequest request = entry.request();
 		long now = this.nanoClock.getAsLong();
 		double waitMs = (now - entry.enqueuedAtNanos()) / (double) NANOS_PER_MS;
+		if (isNewProgram(request) && request.programRemainingMs() != Long.MAX_VALUE) {
+			this.programs.profile(request.route()).recordObjective(request.programRemainingMs());
+		}
 		if (request.programStarted()) {
 			this.waits.recordWait(waitMs);
 		}
--- a/core/src/main/java/org/hemlockgw/core/pool/ReturnSchedule.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ReturnSchedule.java
@@ -5,6 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
+import org.hemlockgw.core.common.StableHash;
+
 /**
  * Times at which refused programs may return: for each account in the order of their
  * refusal, spread at the rate at which its programs can begin. Not thread-safe.
@@ -17,6 +19,9 @@
 	 */
 	private static final int REMAINING_TIME_DIVISOR = 3;
 
+	/** Shortest limit in milliseconds; sooner returns only repeat the load. */
+	private static final long MIN_LIMIT_MS = 100;
+
 	/**
 	 * Time in milliseconds after which a program that did not return loses its place:
 	 * network latency and the caller's own timer.
@@ -39,13 +44,15 @@
 	 */
 	long retryAfterMs(SlotRequest request, double intervalMs, long nowNanos) {
 		long remainingMs = Math.min(request.remainingMs(), Math.max(0, request.programRemainingMs()));
-		long limitMs = Math.max(1, remainingMs / REMAINING_TIME_DIVISOR);
+		long limitMs = Math.max(MIN_LIMIT_MS, remainingMs / REMAINING_TIME_DIVISOR);
 		String account = request.account();
 		long last = Math.max(nowNanos, this.lastReturnNanos.getOrDefault(account, nowNanos));
 		long at = last + Math.round(intervalMs * NANOS_PER_MS);
 		long delayMs = Math.max(1, (at - nowNanos) / NANOS_PER_MS);
 		if (delayMs > limitMs) {
-			return limitMs;
+			// Programs without a place would otherwise all return at the same moment.
+			long spreadMs = Math.floorMod(StableHash.of(request.id()), limitMs / 2 + 1);
+			return Math.max(MIN_LIMIT_MS, limitMs - spreadMs);
 		}
 		this.lastReturnNanos.put(account, at);
 		if (!request.program().isEmpty()) {
