Limit declared times and refuse requests without a server

Deadlines of 1e13 ms overflowed in nanoseconds, so that grants expired at once; SlotRequest now limits all times, and at most 65,536 programs without a turn are kept. Queued requests whose last server had gone were held until their deadline; they are refused at the next check, with at most 10 s Retry-After.

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -50,8 +50,11 @@
 	 */
 	private static final double STARTED_WAIT_TOLERANCE = 2;
 
-	/** Longest time of a request in milliseconds; longer ones would overflow. */
-	private static final long MAX_TIME_MS = 1_000_000_000;
+	/**
+	 * Longest time in milliseconds after which a refused caller may retry; the expected
+	 * wait is unlimited in a pool without slots.
+	 */
+	private static final long MAX_RETRY_AFTER_MS = 10_000;
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
@@ -77,6 +80,8 @@
 
 	private long sequence;
 
+	private boolean serversChanged;
+
 	/**
 	 * Creates a scheduler without servers.
 	 * @param nanoClock monotonic clock in nanoseconds
@@ -104,6 +109,7 @@
 	public void updateServers(List<PoolMember> members) {
 		this.servers.update(members);
 		this.reservation.update();
+		this.serversChanged = true;
 		grantQueuedRequests();
 	}
 
@@ -183,13 +189,13 @@
 		long lateAt = Long.MAX_VALUE;
 		long slackEnd = Long.MAX_VALUE;
 		if (request.programRemainingMs() != Long.MAX_VALUE) {
-			long objectiveEnd = now + Math.min(request.programRemainingMs(), MAX_TIME_MS) * NANOS_PER_MS;
+			long objectiveEnd = now + request.programRemainingMs() * NANOS_PER_MS;
 			lateAt = objectiveEnd - Math.round(profile.turnMs() * NANOS_PER_MS);
 			slackEnd = objectiveEnd - Math.round(profile.remainingMs(this.programs.turnsDone(request)) * NANOS_PER_MS);
 		}
 		double costMs = (profile.turnMs() > 0) ? profile.turnMs() : this.averageDurationMs;
 		return new QueuedRequest(request, answer, ++this.sequence, now,
-				now + Math.min(maxWaitMs(request), MAX_TIME_MS) * NANOS_PER_MS, lateAt, slackEnd, costMs);
+				now + maxWaitMs(request) * NANOS_PER_MS, lateAt, slackEnd, costMs);
 	}
 
 	private @Nullable RefusalReason checkNewProgram(SlotRequest request) {
@@ -219,7 +225,8 @@
 
 	private void refuse(QueuedRequest entry, RefusalReason reason, long retryAfterMs, String text) {
 		this.listener.refused(reason);
-		entry.answer().accept(SlotDecision.refused(retryAfterMs, text));
+		long delayMs = Math.max(1, Math.min(retryAfterMs, MAX_RETRY_AFTER_MS));
+		entry.answer().accept(SlotDecision.refused(delayMs, text));
 	}
 
 	// Only turns of programs have a prompt.
@@ -351,6 +358,7 @@
 		this.programs.expire(now);
 		this.admission.expire(now);
 		grantQueuedRequests();
+		refuseWithoutServer();
 		refuseHopeless();
 	}
 
@@ -424,6 +432,21 @@
 		});
 	}
 
+	// Called at intervals, so that a server that is replaced in two updates of the list
+	// costs no requests.
+	private void refuseWithoutServer() {
+		if (!this.serversChanged) {
+			return;
+		}
+		this.serversChanged = false;
+		for (QueuedRequest entry : this.queue.entries()) {
+			if (!this.servers.hasAvailable(entry.request().excluded())
+					&& removeQueued(entry.request().id()) != null) {
+				refuse(entry, RefusalReason.NO_SERVER, FAILURE_COOLDOWN_MS, "no server is left");
+			}
+		}
+	}
+
 	private @Nullable PoolServer select(SlotRequest request) {
 		return this.servers.select(request, this.averageDurationMs, this.nanoClock.getAsLong());
 	}
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
@@ -23,6 +23,12 @@
 	/** Maximum number of routes with a profile; names come from the configuration. */
 	private static final int MAX_ROUTES = 1000;
 
+	/**
+	 * Maximum number of programs without a turn that are kept. Callers choose their
+	 * objectives, until which a program is kept.
+	 */
+	private static final int MAX_PROGRAMS = 65_536;
+
 	private static final double NANOS_PER_MS = 1_000_000;
 
 	// In the order of the last activity.
@@ -104,6 +110,9 @@
 	}
 
 	private Program findOrAdd(SlotRequest request, long nowNanos) {
+		if (this.programs.size() >= MAX_PROGRAMS) {
+			removeOldest();
+		}
 		return this.programs.computeIfAbsent(key(request),
 				(key) -> new Program(request.account(), profile(request.route()), nowNanos));
 	}
@@ -180,6 +189,18 @@
 		}
 	}
 
+	private void removeOldest() {
+		Iterator<Program> iterator = this.programs.values().iterator();
+		while (iterator.hasNext()) {
+			Program program = iterator.next();
+			if (!program.isActive()) {
+				setDemand(program, 0);
+				iterator.remove();
+				return;
+			}
+		}
+	}
+
 	/**
 	 * Returns the number of turns that the program of a request has completed.
 	 * @param request the request
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
@@ -28,6 +28,22 @@
 		int priority, boolean programStarted, long programRemainingMs, long objectiveMs, long remainingMs,
 		List<PromptPart> prompt, int maxTokens, Set<String> excluded, Set<String> connected) {
 
+	/** Longest time of a request in milliseconds. */
+	private static final long MAX_TIME_MS = 1_000_000_000;
+
+	/**
+	 * Limits the times that callers declare, which would overflow in nanoseconds.
+	 */
+	public SlotRequest {
+		remainingMs = limit(remainingMs);
+		objectiveMs = limit(objectiveMs);
+		programRemainingMs = (programRemainingMs == Long.MAX_VALUE) ? programRemainingMs : limit(programRemainingMs);
+	}
+
+	private static long limit(long timeMs) {
+		return Math.max(-MAX_TIME_MS, Math.min(timeMs, MAX_TIME_MS));
+	}
+
 	/**
 	 * Creates a request without a route and a program.
 	 * @param id identifier of the caller's attempt
--- a/core/src/test/java/org/hemlockgw/core/pool/SlotAccountingTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/SlotAccountingTests.java
@@ -108,6 +108,29 @@
 		assertThat(this.granted).containsExactly("a", "new").inOrder();
 	}
 
+	// Guards against deadlines that overflow in nanoseconds and expire at once.
+	@Test
+	void hugeDeadlineDoesNotExpire() {
+		update("s1");
+		this.scheduler.submit(new SlotRequest("a", "d1", "", "", 0, true, 1_000_000_000_000_000L, 250,
+				10_000_000_000_000L, List.of(), 0, Set.of(), Set.of()), (answer) -> record("a", answer));
+		this.nowMs += 10;
+		this.scheduler.expireOverdue();
+		assertThat(this.scheduler.inFlight()).isEqualTo(1);
+	}
+
+	// Guards against requests that are held until their deadline although no server is
+	// left for them.
+	@Test
+	void queuedRequestWithoutServerIsRefused() {
+		update("s1");
+		submit("a", "d1");
+		submit("b", "d1");
+		update();
+		this.scheduler.expireOverdue();
+		assertThat(this.refused).containsExactly("b");
+	}
+
 	// Guards against estimates that are learned from a part of a request's time.
 	@Test
 	void restoredGrantDoesNotChangeEstimates() {
