Bound the work of the scheduler at one event

Medians of all servers were sorted every 250 ms, totals of slots were summed up several times for each request, and each event in a pool limited by memory searched a server for every queued request. Medians are computed after new samples or when one gets too old, totals are kept, and the search ends after 16 requests without a server. Decision times were not measured again. SlotAccountingTests, LoadTests, OverloadTests, PlacementTests, PoolSchedulerTests, PoolServersTests, SlotQueueTests, ReturnScheduleTests, ProgramsUnderWayTests, RouteProfileTests and WaitBasedAdmissionTests are green (verify -pl core).

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,25 +36,18 @@
 	/** Time during which a server is avoided after a failed request, in milliseconds. */
 	private static final long FAILURE_COOLDOWN_MS = 1000;
 
-	/**
-	 * Longest time that the first request of a program waits for a slot, as a fraction of
-	 * its objective.
-	 */
-	private static final double NEW_PROGRAM_WAIT_FRACTION = 0.25;
-
-	/**
-	 * Factor by which the expected wait of a request that is not the first of a program
-	 * must exceed its time before it is refused while it waits; a refusal costs all work
-	 * of its program.
-	 */
-	private static final double STARTED_WAIT_TOLERANCE = 2;
-
 	/**
 	 * Longest time in milliseconds after which a refused caller may retry; the expected
 	 * wait is unlimited in a pool without slots.
 	 */
 	private static final long MAX_RETRY_AFTER_MS = 10_000;
 
+	/**
+	 * Number of queued requests for which a server is searched at one event; the search
+	 * costs time linear in the number of servers.
+	 */
+	private static final int MAX_CANDIDATES = 16;
+
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final LongSupplier nanoClock;
@@ -124,7 +116,7 @@
 		removeEarlier(request.id(), now);
 		this.programs.recordArrival(request, now);
 		QueuedRequest entry = toEntry(request, answer, now);
-		if (isNewProgram(request)) {
+		if (request.isNewProgram()) {
 			RefusalReason refusal = checkNewProgram(request);
 			if (refusal != null) {
 				refuse(entry, refusal, retryAfterMs(request), describe(refusal));
@@ -134,7 +126,7 @@
 		// Queued requests are granted as soon as they fit, so a free server that fits
 		// this
 		// request fits none of them.
-		PoolServer server = select(request);
+		PoolServer server = this.servers.hasFreeSlot() ? select(request) : null;
 		if (server != null) {
 			grant(server, entry);
 			return;
@@ -148,7 +140,7 @@
 			return;
 		}
 		long waitMs = expectedWaitMs(this.queue.countAhead(entry, now));
-		if (waitMs > maxWaitMs(request)) {
+		if (waitMs > request.maxWaitMs()) {
 			refuseForWait(entry, waitMs);
 			return;
 		}
@@ -180,8 +172,8 @@
 	}
 
 	private void releaseUnmeasured(Grant grant, long now) {
-		this.programs.recordRelease(grant.request, -1, now);
-		this.servers.release(grant.server, grant.request, grant.warm, ResponseTiming.NONE, 0, now);
+		this.programs.recordRelease(grant.request(), -1, now);
+		this.servers.release(grant.server(), grant.request(), grant.warm(), ResponseTiming.NONE, 0, now);
 	}
 
 	private QueuedRequest toEntry(SlotRequest request, Consumer<SlotDecision> answer, long now) {
@@ -194,8 +186,8 @@
 			slackEnd = objectiveEnd - Math.round(profile.remainingMs(this.programs.turnsDone(request)) * NANOS_PER_MS);
 		}
 		double costMs = (profile.turnMs() > 0) ? profile.turnMs() : this.averageDurationMs;
-		return new QueuedRequest(request, answer, ++this.sequence, now,
-				now + maxWaitMs(request) * NANOS_PER_MS, lateAt, slackEnd, costMs);
+		return new QueuedRequest(request, answer, ++this.sequence, now, now + request.maxWaitMs() * NANOS_PER_MS,
+				lateAt, slackEnd, costMs);
 	}
 
 	private @Nullable RefusalReason checkNewProgram(SlotRequest request) {
@@ -218,7 +210,7 @@
 	}
 
 	private void refuseForWait(QueuedRequest entry, long waitMs) {
-		long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request()) : waitMs;
+		long retryAfterMs = entry.request().isNewProgram() ? retryAfterMs(entry.request()) : waitMs;
 		refuse(entry, RefusalReason.EXPECTED_WAIT, retryAfterMs, "expected wait of " + waitMs + " ms with "
 				+ this.queue.size() + " waiting and " + this.grants.size() + " in flight");
 	}
@@ -229,23 +221,6 @@
 		entry.answer().accept(SlotDecision.refused(delayMs, text));
 	}
 
-	// Only turns of programs have a prompt.
-	private static boolean isNewProgram(SlotRequest request) {
-		return !request.programStarted() && !request.prompt().isEmpty();
-	}
-
-	// A program that has already started is to be completed, so its requests may wait
-	// until their deadline. A new program is refused early, while its caller still has
-	// time to return within the objective.
-	private static long maxWaitMs(SlotRequest request) {
-		if (request.programStarted()) {
-			return request.remainingMs();
-		}
-		long objectiveMs = isNewProgram(request) ? Math.round(NEW_PROGRAM_WAIT_FRACTION * request.objectiveMs())
-				: request.objectiveMs();
-		return Math.min(objectiveMs, request.remainingMs());
-	}
-
 	private long expectedWaitMs(int requestsAhead) {
 		long slots = this.servers.slotCount();
 		return (slots == 0) ? Long.MAX_VALUE : Math.round((requestsAhead + 1) * this.averageDurationMs / slots);
@@ -282,19 +257,20 @@
 			return;
 		}
 		long now = this.nanoClock.getAsLong();
-		if (grant.restored) {
+		if (grant.restored()) {
 			// It is not known when the earlier scheduler granted the slot.
 			releaseUnmeasured(grant, now);
 			if (failed) {
-				grant.server.avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
+				grant.server().avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
 			}
 			grantQueuedRequests();
 			return;
 		}
-		PoolServer server = grant.server;
-		double durationMs = (now - grant.grantedAtNanos) / (double) NANOS_PER_MS;
-		this.programs.recordRelease(grant.request, (failed || timing.units() == 0) ? -1 : durationMs, now);
-		this.servers.release(server, grant.request, grant.warm, failed ? ResponseTiming.NONE : timing, durationMs, now);
+		PoolServer server = grant.server();
+		double durationMs = (now - grant.grantedAtNanos()) / (double) NANOS_PER_MS;
+		this.programs.recordRelease(grant.request(), (failed || timing.units() == 0) ? -1 : durationMs, now);
+		this.servers.release(server, grant.request(), grant.warm(), failed ? ResponseTiming.NONE : timing, durationMs,
+				now);
 		if (failed) {
 			server.avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
 		}
@@ -333,8 +309,8 @@
 		}
 		long now = this.nanoClock.getAsLong();
 		for (Grant grant : List.copyOf(this.grants.values())) {
-			if (grant.request.holder().equals(holder)) {
-				this.grants.remove(grant.request.id());
+			if (grant.request().holder().equals(holder)) {
+				this.grants.remove(grant.request().id());
 				releaseUnmeasured(grant, now);
 			}
 		}
@@ -350,7 +326,8 @@
 		Iterator<Grant> iterator = this.grants.values().iterator();
 		while (iterator.hasNext()) {
 			Grant grant = iterator.next();
-			if (now - grant.grantedAtNanos > (grant.request.remainingMs() + GRANT_TIMEOUT_MARGIN_MS) * NANOS_PER_MS) {
+			if (now - grant.grantedAtNanos() > (grant.request().remainingMs() + GRANT_TIMEOUT_MARGIN_MS)
+					* NANOS_PER_MS) {
 				releaseUnmeasured(grant, now);
 				iterator.remove();
 			}
@@ -404,7 +381,7 @@
 		for (QueuedRequest entry : this.queue.removeExpired(now)) {
 			this.programs.recordDequeued(entry.request(), now);
 			this.reservation.remove(entry.request().id());
-			long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request())
+			long retryAfterMs = entry.request().isNewProgram() ? retryAfterMs(entry.request())
 					: Math.round(this.averageDurationMs);
 			refuse(entry, RefusalReason.WAITED, retryAfterMs, "waited too long for a slot");
 		}
@@ -415,16 +392,7 @@
 	private void refuseHopeless() {
 		long now = this.nanoClock.getAsLong();
 		long slots = this.servers.slotCount();
-		Map<QueuedRequest, Long> hopeless = new LinkedHashMap<>();
-		this.queue.forEach((entry, ahead) -> {
-			double tolerance = isNewProgram(entry.request()) ? 1 : STARTED_WAIT_TOLERANCE;
-			long leftMs = (entry.expiresAtNanos() - now) / NANOS_PER_MS;
-			// The first request of the queue is waiting for the next free slot.
-			double waitMs = ahead * this.averageDurationMs / Math.max(1, slots);
-			if (waitMs > tolerance * leftMs) {
-				hopeless.put(entry, Math.round(waitMs));
-			}
-		});
+		Map<QueuedRequest, Long> hopeless = this.queue.findHopeless(now, this.averageDurationMs / Math.max(1, slots));
 		hopeless.forEach((entry, waitMs) -> {
 			if (removeQueued(entry.request().id()) != null) {
 				refuseForWait(entry, waitMs);
@@ -440,8 +408,7 @@
 		}
 		this.serversChanged = false;
 		for (QueuedRequest entry : this.queue.entries()) {
-			if (!this.servers.hasAvailable(entry.request().excluded())
-					&& removeQueued(entry.request().id()) != null) {
+			if (!this.servers.hasAvailable(entry.request().excluded()) && removeQueued(entry.request().id()) != null) {
 				refuse(entry, RefusalReason.NO_SERVER, FAILURE_COOLDOWN_MS, "no server is left");
 			}
 		}
@@ -454,10 +421,15 @@
 	private void grantQueuedRequests() {
 		refuseOverdue();
 		PoolServer[] selected = new PoolServer[1];
+		int[] misses = { 0 };
 		while (!this.queue.isEmpty() && this.servers.hasFreeSlot()) {
 			QueuedRequest entry = this.queue.poll(this.nanoClock.getAsLong(), (candidate) -> {
+				if (misses[0] >= MAX_CANDIDATES) {
+					return false;
+				}
 				selected[0] = select(candidate.request());
 				if (selected[0] == null) {
+					misses[0]++;
 					this.reservation.recordPassed(candidate.request());
 				}
 				return selected[0] != null;
@@ -477,7 +449,7 @@
 		SlotRequest request = entry.request();
 		long now = this.nanoClock.getAsLong();
 		double waitMs = (now - entry.enqueuedAtNanos()) / (double) NANOS_PER_MS;
-		if (isNewProgram(request) && request.programRemainingMs() != Long.MAX_VALUE) {
+		if (request.isNewProgram() && request.programRemainingMs() != Long.MAX_VALUE) {
 			this.programs.profile(request.route()).recordObjective(request.programRemainingMs());
 		}
 		if (request.programStarted()) {
@@ -493,7 +465,4 @@
 		entry.answer().accept(SlotDecision.granted(server.member()));
 	}
 
-	private record Grant(PoolServer server, SlotRequest request, long grantedAtNanos, boolean warm, boolean restored) {
-	}
-
 }
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolServer.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolServer.java
@@ -80,7 +80,11 @@
 	}
 
 	boolean hasFreeSlot() {
-		return !this.member.draining() && inFlight() < this.member.slots();
+		return freeSlots() > 0;
+	}
+
+	int freeSlots() {
+		return this.member.draining() ? 0 : Math.max(0, this.member.slots() - inFlight());
 	}
 
 	/**
--- a/core/src/main/java/org/hemlockgw/core/pool/PoolServers.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolServers.java
@@ -27,6 +27,17 @@
 	// In a fixed order, so that decisions can be reproduced.
 	private List<PoolServer> servers = List.of();
 
+	// Totals of the servers that are not draining, kept because each request needs them.
+	private long availableCount;
+
+	private long slotCount;
+
+	private long freeSlots;
+
+	private long inFlight;
+
+	private long runningTokens;
+
 	/**
 	 * Replaces the list of servers. A server that was started again is a new one.
 	 * @param members servers of the pool
@@ -48,7 +59,27 @@
 			.stream()
 			.sorted(Comparator.comparing((server) -> server.member().id()))
 			.toList();
-		this.choice.update(this.servers, slotCount());
+		this.availableCount = 0;
+		this.slotCount = 0;
+		this.freeSlots = 0;
+		this.inFlight = 0;
+		this.runningTokens = 0;
+		for (PoolServer server : this.servers) {
+			if (!server.member().draining()) {
+				this.availableCount++;
+				this.slotCount += server.member().slots();
+			}
+			addToTotals(server, 1);
+		}
+		this.choice.update(this.servers, this.slotCount);
+	}
+
+	private void addToTotals(PoolServer server, int sign) {
+		if (!server.member().draining() && this.byId.get(server.member().id()) == server) {
+			this.freeSlots += sign * server.freeSlots();
+			this.inFlight += sign * server.inFlight();
+			this.runningTokens += sign * server.runningTokens();
+		}
 	}
 
 	@Nullable PoolServer find(String id) {
@@ -60,21 +91,19 @@
 	 * @return number of slots
 	 */
 	long slotCount() {
-		long slots = 0;
-		for (PoolServer server : this.byId.values()) {
-			slots += server.member().draining() ? 0 : server.member().slots();
-		}
-		return slots;
+		return this.slotCount;
 	}
 
 	boolean hasAvailable(Set<String> excluded) {
-		return this.byId.values()
-			.stream()
+		if (excluded.isEmpty()) {
+			return this.availableCount > 0;
+		}
+		return this.servers.stream()
 			.anyMatch((server) -> !server.member().draining() && !excluded.contains(server.member().id()));
 	}
 
 	boolean hasFreeSlot() {
-		return this.byId.values().stream().anyMatch(PoolServer::hasFreeSlot);
+		return this.freeSlots > 0;
 	}
 
 	/**
@@ -83,19 +112,10 @@
 	 * @return whether the pool has spare slots
 	 */
 	boolean hasSpareSlots() {
-		long slots = slotCount();
-		int inFlight = 0;
-		long memoryTokens = 0;
-		long runningTokens = 0;
-		for (PoolServer server : this.byId.values()) {
-			if (!server.member().draining()) {
-				inFlight += server.inFlight();
-				memoryTokens += this.choice.memoryTokens();
-				runningTokens += server.runningTokens();
-			}
-		}
-		boolean spareMemory = memoryTokens == 0 || memoryTokens - runningTokens > SPARE_SLOTS_FRACTION * memoryTokens;
-		return spareMemory && slots - inFlight > SPARE_SLOTS_FRACTION * slots;
+		long memoryTokens = this.availableCount * this.choice.memoryTokens();
+		boolean spareMemory = memoryTokens == 0
+				|| memoryTokens - this.runningTokens > SPARE_SLOTS_FRACTION * memoryTokens;
+		return spareMemory && this.slotCount - this.inFlight > SPARE_SLOTS_FRACTION * this.slotCount;
 	}
 
 	/**
@@ -135,7 +155,9 @@
 		String homeId = this.choice.findHome(request);
 		PoolServer home = (homeId != null) ? this.byId.get(homeId) : null;
 		this.choice.recordPlacement(server, home, request, nowNanos);
+		addToTotals(server, -1);
 		server.occupy(request, this.choice.memoryTokens());
+		addToTotals(server, 1);
 		return server == home;
 	}
 
@@ -150,7 +172,9 @@
 	 */
 	void release(PoolServer server, SlotRequest request, boolean warm, ResponseTiming timing, double durationMs,
 			long nowNanos) {
+		addToTotals(server, -1);
 		PoolServer.Occupation occupation = server.release(request.id());
+		addToTotals(server, 1);
 		if (occupation != null && timing.units() > 0) {
 			server.recordTiming(occupation, timing, durationMs, nowNanos);
 			this.choice.recordResponse(server, request, warm, timing);
--- a/core/src/main/java/org/hemlockgw/core/pool/SampleWindow.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SampleWindow.java
@@ -30,31 +30,45 @@
 
 	private int count;
 
+	private double median = Double.NaN;
+
+	// Time until which the median holds without a new sample.
+	private long validUntilNanos = Long.MIN_VALUE / 2;
+
 	void add(double value, long nowNanos) {
 		this.values[this.next] = value;
 		this.timesNanos[this.next] = nowNanos;
 		this.next = (this.next + 1) % MAX_SAMPLES;
 		this.count = Math.min(MAX_SAMPLES, this.count + 1);
+		this.validUntilNanos = nowNanos - 1;
 	}
 
 	/**
-	 * Returns the median of the samples.
+	 * Returns the median of the samples. It is computed again only after a new sample or
+	 * when one has become too old, because a pool has thousands of servers.
 	 * @param nowNanos current time
 	 * @return the median; NaN with too few recent samples
 	 */
 	double median(long nowNanos) {
+		if (nowNanos - this.validUntilNanos <= 0) {
+			return this.median;
+		}
 		double[] recent = new double[this.count];
 		int size = 0;
+		this.validUntilNanos = nowNanos + MAX_AGE_NANOS;
 		for (int i = 0; i < this.count; i++) {
 			if (nowNanos - this.timesNanos[i] <= MAX_AGE_NANOS) {
 				recent[size++] = this.values[i];
+				this.validUntilNanos = Math.min(this.validUntilNanos, this.timesNanos[i] + MAX_AGE_NANOS);
 			}
 		}
 		if (size < MIN_SAMPLES) {
-			return Double.NaN;
+			this.median = Double.NaN;
+			return this.median;
 		}
 		Arrays.sort(recent, 0, size);
-		return recent[size / 2];
+		this.median = recent[size / 2];
+		return this.median;
 	}
 
 }
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotQueue.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -27,6 +28,15 @@
 	 */
 	private static final int GRANTS_PER_LATE_REQUEST = 8;
 
+	/**
+	 * Factor by which the expected wait of a request that is not the first of a program
+	 * must exceed its time before it is refused while it waits; a refusal costs all work
+	 * of its program.
+	 */
+	private static final double STARTED_WAIT_TOLERANCE = 2;
+
+	private static final long NANOS_PER_MS = 1_000_000;
+
 	private static final Comparator<QueuedRequest> BY_SEQUENCE = Comparator.comparingLong(QueuedRequest::sequence);
 
 	private final TreeMap<Level, AccountFairQueue> levels = new TreeMap<>();
@@ -172,6 +182,27 @@
 		return (own != null) ? ahead + own.countAhead(entry) : ahead;
 	}
 
+	/**
+	 * Returns the requests whose expected wait exceeds their time. Costs time linear in
+	 * the length of the queue.
+	 * @param nowNanos current time
+	 * @param intervalMs average time between two free slots in milliseconds
+	 * @return the requests with their expected wait in milliseconds
+	 */
+	Map<QueuedRequest, Long> findHopeless(long nowNanos, double intervalMs) {
+		Map<QueuedRequest, Long> hopeless = new LinkedHashMap<>();
+		forEach((entry, ahead) -> {
+			double tolerance = entry.request().isNewProgram() ? 1 : STARTED_WAIT_TOLERANCE;
+			long leftMs = (entry.expiresAtNanos() - nowNanos) / NANOS_PER_MS;
+			// The first request of the queue is waiting for the next free slot.
+			double waitMs = ahead * intervalMs;
+			if (waitMs > tolerance * leftMs) {
+				hopeless.put(entry, Math.round(waitMs));
+			}
+		});
+		return hopeless;
+	}
+
 	/**
 	 * Passes each request with the estimated number of requests that are served before
 	 * it. Costs time linear in the length of the queue.
--- a/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/SlotRequest.java
@@ -28,6 +28,12 @@
 		int priority, boolean programStarted, long programRemainingMs, long objectiveMs, long remainingMs,
 		List<PromptPart> prompt, int maxTokens, Set<String> excluded, Set<String> connected) {
 
+	/**
+	 * Longest time that the first request of a program waits for a slot, as a fraction of
+	 * its objective.
+	 */
+	private static final double NEW_PROGRAM_WAIT_FRACTION = 0.25;
+
 	/** Longest time of a request in milliseconds. */
 	private static final long MAX_TIME_MS = 1_000_000_000;
 
@@ -40,6 +46,26 @@
 		programRemainingMs = (programRemainingMs == Long.MAX_VALUE) ? programRemainingMs : limit(programRemainingMs);
 	}
 
+	// Only turns of programs have a prompt.
+	boolean isNewProgram() {
+		return !this.programStarted && !this.prompt.isEmpty();
+	}
+
+	/**
+	 * Returns the longest time that the request waits for a slot. A program that has
+	 * already started is to be completed, so its requests may wait until their deadline.
+	 * A new program is refused early, while its caller still has time to return within
+	 * the objective.
+	 * @return time in milliseconds
+	 */
+	long maxWaitMs() {
+		if (this.programStarted) {
+			return this.remainingMs;
+		}
+		long waitMs = isNewProgram() ? Math.round(NEW_PROGRAM_WAIT_FRACTION * this.objectiveMs) : this.objectiveMs;
+		return Math.min(waitMs, this.remainingMs);
+	}
+
 	private static long limit(long timeMs) {
 		return Math.max(-MAX_TIME_MS, Math.min(timeMs, MAX_TIME_MS));
 	}
