Split the table of grants and the search of candidates from PoolScheduler

A turn that was granted at once ended the waiting of another turn of its program; only turns from the queue do so now (no test of its own).

--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -1,7 +1,5 @@
 package org.hemlockgw.core.pool;
 
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,12 +25,6 @@
 	 */
 	private static final double INITIAL_DURATION_MS = 100;
 
-	/**
-	 * Time after the caller's deadline at which an unreleased grant expires, in
-	 * milliseconds.
-	 */
-	private static final long GRANT_TIMEOUT_MARGIN_MS = 1000;
-
 	/** Time during which a server is avoided after a failed request, in milliseconds. */
 	private static final long FAILURE_COOLDOWN_MS = 1000;
 
@@ -42,12 +34,6 @@
 	 */
 	private static final long MAX_RETRY_AFTER_MS = 10_000;
 
-	/**
-	 * Number of queued requests for which a server is searched at one event; the search
-	 * costs time linear in the number of servers.
-	 */
-	private static final int MAX_CANDIDATES = 16;
-
 	private static final long NANOS_PER_MS = 1_000_000;
 
 	private final LongSupplier nanoClock;
@@ -56,12 +42,12 @@
 
 	private final MemoryReservation reservation = new MemoryReservation(this.servers);
 
-	private final Map<String, Grant> grants = new HashMap<>();
-
 	private final SlotQueue queue = new SlotQueue();
 
 	private final ProgramsUnderWay programs = new ProgramsUnderWay();
 
+	private final GrantTable grants = new GrantTable(this.servers, this.programs);
+
 	private final ProgramAdmissionPolicy admission = new ProgramAdmissionPolicy(this.programs);
 
 	private final WaitBasedAdmission waits;
@@ -115,7 +101,8 @@
 		long now = this.nanoClock.getAsLong();
 		removeEarlier(request.id(), now);
 		this.programs.recordArrival(request, now);
-		QueuedRequest entry = toEntry(request, answer, now);
+		QueuedRequest entry = QueuedRequest.create(request, answer, ++this.sequence, now, this.programs,
+				this.averageDurationMs);
 		if (request.isNewProgram()) {
 			RefusalReason refusal = checkNewProgram(request);
 			if (refusal != null) {
@@ -123,9 +110,7 @@
 				return;
 			}
 		}
-		// Queued requests are granted as soon as they fit, so a free server that fits
-		// this
-		// request fits none of them.
+		// Queued requests are granted as soon as they fit.
 		PoolServer server = this.servers.hasFreeSlot() ? select(request) : null;
 		if (server != null) {
 			grant(server, entry);
@@ -152,10 +137,7 @@
 	// A request that was sent again, after its answer was lost, would otherwise hold two
 	// slots, or its first entry would leave the queue without an answer.
 	private void removeEarlier(String id, long now) {
-		Grant grant = this.grants.remove(id);
-		if (grant != null) {
-			releaseUnmeasured(grant, now);
-		}
+		this.grants.cancel(id, now);
 		QueuedRequest queued = removeQueued(id);
 		if (queued != null) {
 			queued.answer().accept(SlotDecision.refused(Math.round(this.averageDurationMs), "request was sent again"));
@@ -171,25 +153,6 @@
 		return entry;
 	}
 
-	private void releaseUnmeasured(Grant grant, long now) {
-		this.programs.recordRelease(grant.request(), -1, now);
-		this.servers.release(grant.server(), grant.request(), grant.warm(), ResponseTiming.NONE, 0, now);
-	}
-
-	private QueuedRequest toEntry(SlotRequest request, Consumer<SlotDecision> answer, long now) {
-		RouteProfile profile = this.programs.profile(request.route());
-		long lateAt = Long.MAX_VALUE;
-		long slackEnd = Long.MAX_VALUE;
-		if (request.programRemainingMs() != Long.MAX_VALUE) {
-			long objectiveEnd = now + request.programRemainingMs() * NANOS_PER_MS;
-			lateAt = objectiveEnd - Math.round(profile.turnMs() * NANOS_PER_MS);
-			slackEnd = objectiveEnd - Math.round(profile.remainingMs(this.programs.turnsDone(request)) * NANOS_PER_MS);
-		}
-		double costMs = (profile.turnMs() > 0) ? profile.turnMs() : this.averageDurationMs;
-		return new QueuedRequest(request, answer, ++this.sequence, now, now + request.maxWaitMs() * NANOS_PER_MS,
-				lateAt, slackEnd, costMs);
-	}
-
 	private @Nullable RefusalReason checkNewProgram(SlotRequest request) {
 		return this.admission.check(request, this.servers.slotCount(), this.servers.hasSpareSlots(),
 				!this.waits.isOpen(this.averageDurationMs), this.nanoClock.getAsLong());
@@ -201,12 +164,8 @@
 	}
 
 	private String describe(RefusalReason refusal) {
-		String cause = switch (refusal) {
-			case SLOW_TOOLS -> "time between turns is too long for new programs";
-			case ACCOUNT_DEMAND -> "programs under way need the slots";
-			default -> "started programs wait for slots";
-		};
-		return cause + ", " + this.queue.size() + " waiting and " + this.grants.size() + " in flight";
+		return ProgramAdmissionPolicy.describe(refusal) + ", " + this.queue.size() + " waiting and "
+				+ this.grants.size() + " in flight";
 	}
 
 	private void refuseForWait(QueuedRequest entry, long waitMs) {
@@ -257,24 +216,15 @@
 			return;
 		}
 		long now = this.nanoClock.getAsLong();
-		if (grant.restored()) {
-			// It is not known when the earlier scheduler granted the slot.
-			releaseUnmeasured(grant, now);
-			if (failed) {
-				grant.server().avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
-			}
-			grantQueuedRequests();
-			return;
-		}
-		PoolServer server = grant.server();
+		// It is not known when an earlier scheduler granted a slot.
+		ResponseTiming measured = (failed || grant.restored()) ? ResponseTiming.NONE : timing;
 		double durationMs = (now - grant.grantedAtNanos()) / (double) NANOS_PER_MS;
-		this.programs.recordRelease(grant.request(), (failed || timing.units() == 0) ? -1 : durationMs, now);
-		this.servers.release(server, grant.request(), grant.warm(), failed ? ResponseTiming.NONE : timing, durationMs,
-				now);
+		this.programs.recordRelease(grant.request(), (measured.units() == 0) ? -1 : durationMs, now);
+		this.servers.release(grant.server(), grant.request(), grant.warm(), measured, durationMs, now);
 		if (failed) {
-			server.avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
+			grant.server().avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
 		}
-		else if (timing.units() > 0) {
+		else if (measured.units() > 0) {
 			this.averageDurationMs += SAMPLE_WEIGHT * (durationMs - this.averageDurationMs);
 		}
 		grantQueuedRequests();
@@ -289,10 +239,9 @@
 	public void restoreGrant(SlotRequest request, String serverId) {
 		removeQueued(request.id());
 		PoolServer server = this.servers.find(serverId);
-		if (server != null && !this.grants.containsKey(request.id())) {
+		if (server != null && !this.grants.contains(request.id())) {
 			long now = this.nanoClock.getAsLong();
-			boolean warm = this.servers.occupy(server, request, now);
-			this.grants.put(request.id(), new Grant(server, request, now, warm, true));
+			this.grants.add(server, request, now, true);
 			this.programs.recordGrant(request, now);
 		}
 	}
@@ -307,13 +256,7 @@
 				cancel(entry.request().id());
 			}
 		}
-		long now = this.nanoClock.getAsLong();
-		for (Grant grant : List.copyOf(this.grants.values())) {
-			if (grant.request().holder().equals(holder)) {
-				this.grants.remove(grant.request().id());
-				releaseUnmeasured(grant, now);
-			}
-		}
+		this.grants.cancelAll(holder, this.nanoClock.getAsLong());
 		grantQueuedRequests();
 	}
 
@@ -323,15 +266,7 @@
 	 */
 	public void expireOverdue() {
 		long now = this.nanoClock.getAsLong();
-		Iterator<Grant> iterator = this.grants.values().iterator();
-		while (iterator.hasNext()) {
-			Grant grant = iterator.next();
-			if (now - grant.grantedAtNanos() > (grant.request().remainingMs() + GRANT_TIMEOUT_MARGIN_MS)
-					* NANOS_PER_MS) {
-				releaseUnmeasured(grant, now);
-				iterator.remove();
-			}
-		}
+		this.grants.expire(now);
 		this.programs.expire(now);
 		this.admission.expire(now);
 		grantQueuedRequests();
@@ -420,28 +355,17 @@
 
 	private void grantQueuedRequests() {
 		refuseOverdue();
-		PoolServer[] selected = new PoolServer[1];
-		int[] misses = { 0 };
+		CandidateSearch search = new CandidateSearch(this::select, this.reservation);
 		while (!this.queue.isEmpty() && this.servers.hasFreeSlot()) {
-			QueuedRequest entry = this.queue.poll(this.nanoClock.getAsLong(), (candidate) -> {
-				if (misses[0] >= MAX_CANDIDATES) {
-					return false;
-				}
-				selected[0] = select(candidate.request());
-				if (selected[0] == null) {
-					misses[0]++;
-					this.reservation.recordPassed(candidate.request());
-				}
-				return selected[0] != null;
-			});
+			QueuedRequest entry = this.queue.poll(this.nanoClock.getAsLong(), search);
 			if (entry == null) {
 				return;
 			}
-			// The last candidate that was tried may have been another one.
-			PoolServer server = (selected[0] != null) ? selected[0] : select(entry.request());
+			PoolServer server = search.serverOf(entry);
 			if (server != null) {
 				grant(server, entry);
 			}
+			this.programs.recordDequeued(entry.request(), this.nanoClock.getAsLong());
 		}
 	}
 
@@ -456,12 +380,10 @@
 			this.waits.recordWait(waitMs);
 		}
 		this.programs.recordGrant(request, now);
-		this.programs.recordDequeued(request, now);
 		this.reservation.recordGrant();
 		this.reservation.remove(request.id());
 		this.listener.granted(request.priority(), Math.round(waitMs));
-		boolean warm = this.servers.occupy(server, request, now);
-		this.grants.put(request.id(), new Grant(server, request, now, warm, false));
+		this.grants.add(server, request, now, false);
 		entry.answer().accept(SlotDecision.granted(server.member()));
 	}
 
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
@@ -63,6 +63,19 @@
 		return fits ? null : RefusalReason.ACCOUNT_DEMAND;
 	}
 
+	/**
+	 * Describes why a program is refused.
+	 * @param refusal the reason
+	 * @return text for the caller
+	 */
+	static String describe(RefusalReason refusal) {
+		return switch (refusal) {
+			case SLOW_TOOLS -> "time between turns is too long for new programs";
+			case ACCOUNT_DEMAND -> "programs under way need the slots";
+			default -> "started programs wait for slots";
+		};
+	}
+
 	/**
 	 * Returns the time after which a refused program may return.
 	 * @param request its first request
--- a/core/src/main/java/org/hemlockgw/core/pool/QueuedRequest.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/QueuedRequest.java
@@ -18,4 +18,33 @@
  */
 record QueuedRequest(SlotRequest request, Consumer<SlotDecision> answer, long sequence, long enqueuedAtNanos,
 		long expiresAtNanos, long lateAtNanos, long slackEndNanos, double costMs) {
+
+	private static final long NANOS_PER_MS = 1_000_000;
+
+	/**
+	 * Creates an entry for a request that arrives.
+	 * @param request the request
+	 * @param answer callback for the decision
+	 * @param sequence position in the order of arrival
+	 * @param nowNanos current time
+	 * @param programs programs under way with the profiles of their routes
+	 * @param averageDurationMs time in a slot on a route without a profile in
+	 * milliseconds
+	 * @return the entry
+	 */
+	static QueuedRequest create(SlotRequest request, Consumer<SlotDecision> answer, long sequence, long nowNanos,
+			ProgramsUnderWay programs, double averageDurationMs) {
+		RouteProfile profile = programs.profile(request.route());
+		long lateAt = Long.MAX_VALUE;
+		long slackEnd = Long.MAX_VALUE;
+		if (request.programRemainingMs() != Long.MAX_VALUE) {
+			long objectiveEnd = nowNanos + request.programRemainingMs() * NANOS_PER_MS;
+			lateAt = objectiveEnd - Math.round(profile.turnMs() * NANOS_PER_MS);
+			slackEnd = objectiveEnd - Math.round(profile.remainingMs(programs.turnsDone(request)) * NANOS_PER_MS);
+		}
+		double costMs = (profile.turnMs() > 0) ? profile.turnMs() : averageDurationMs;
+		return new QueuedRequest(request, answer, sequence, nowNanos, nowNanos + request.maxWaitMs() * NANOS_PER_MS,
+				lateAt, slackEnd, costMs);
+	}
+
 }
