--- a/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/PoolScheduler.java
@@ -1,9 +1,5 @@
 package org.hemlockgw.core.pool;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,30 +25,14 @@
 	 */
 	private static final double INITIAL_DURATION_MS = 100;
 
-	/**
-	 * Time after the caller's deadline at which an unreleased grant expires, in
-	 * milliseconds.
-	 */
-	private static final long GRANT_TIMEOUT_MARGIN_MS = 1000;
-
 	/** Time during which a server is avoided after a failed request, in milliseconds. */
 	private static final long FAILURE_COOLDOWN_MS = 1000;
 
 	/**
-	 * Longest time that the first request of a program waits for a slot, as a fraction of
-	 * its objective.
-	 */
-	private static final double NEW_PROGRAM_WAIT_FRACTION = 0.25;
-
-	/**
-	 * Factor by which the expected wait of a request that is not the first of a program
-	 * must exceed its time before it is refused while it waits; a refusal costs all work
-	 * of its program.
+	 * Longest time in milliseconds after which a refused caller may retry; the expected
+	 * wait is unlimited in a pool without slots.
 	 */
-	private static final double STARTED_WAIT_TOLERANCE = 2;
-
-	/** Longest time of a request in milliseconds; longer ones would overflow. */
-	private static final long MAX_TIME_MS = 1_000_000_000;
+	private static final long MAX_RETRY_AFTER_MS = 10_000;
 
 	private static final long NANOS_PER_MS = 1_000_000;
 
@@ -60,12 +40,14 @@
 
 	private final PoolServers servers = new PoolServers();
 
-	private final Map<String, Grant> grants = new HashMap<>();
+	private final MemoryReservation reservation = new MemoryReservation(this.servers);
 
 	private final SlotQueue queue = new SlotQueue();
 
 	private final ProgramsUnderWay programs = new ProgramsUnderWay();
 
+	private final GrantTable grants = new GrantTable(this.servers, this.programs);
+
 	private final ProgramAdmissionPolicy admission = new ProgramAdmissionPolicy(this.programs);
 
 	private final WaitBasedAdmission waits;
@@ -76,6 +58,8 @@
 
 	private long sequence;
 
+	private boolean serversChanged;
+
 	/**
 	 * Creates a scheduler without servers.
 	 * @param nanoClock monotonic clock in nanoseconds
@@ -102,6 +86,8 @@
 	 */
 	public void updateServers(List<PoolMember> members) {
 		this.servers.update(members);
+		this.reservation.update();
+		this.serversChanged = true;
 		grantQueuedRequests();
 	}
 
@@ -113,16 +99,19 @@
 	 */
 	public void submit(SlotRequest request, Consumer<SlotDecision> answer) {
 		long now = this.nanoClock.getAsLong();
+		removeEarlier(request.id(), now);
 		this.programs.recordArrival(request, now);
-		QueuedRequest entry = toEntry(request, answer, now);
-		if (isNewProgram(request)) {
+		QueuedRequest entry = QueuedRequest.create(request, answer, ++this.sequence, now, this.programs,
+				this.averageDurationMs);
+		if (request.isNewProgram()) {
 			RefusalReason refusal = checkNewProgram(request);
 			if (refusal != null) {
 				refuse(entry, refusal, retryAfterMs(request), describe(refusal));
 				return;
 			}
 		}
-		PoolServer server = this.queue.isEmpty() ? select(request) : null;
+		// Queued requests are granted as soon as they fit.
+		PoolServer server = this.servers.hasFreeSlot() ? select(request) : null;
 		if (server != null) {
 			grant(server, entry);
 			return;
@@ -136,34 +125,37 @@
 			return;
 		}
 		long waitMs = expectedWaitMs(this.queue.countAhead(entry, now));
-		if (waitMs > maxWaitMs(request)) {
+		if (waitMs > request.maxWaitMs()) {
 			refuseForWait(entry, waitMs);
 			return;
 		}
 		this.queue.add(entry, now);
+		this.programs.recordQueued(request, now);
 		grantQueuedRequests();
 	}
 
-	private QueuedRequest toEntry(SlotRequest request, Consumer<SlotDecision> answer, long now) {
-		RouteProfile profile = this.programs.profile(request.route());
-		long lateAt = Long.MAX_VALUE;
-		long slackEnd = Long.MAX_VALUE;
-		if (request.programRemainingMs() != Long.MAX_VALUE) {
-			long objectiveEnd = now + Math.min(request.programRemainingMs(), MAX_TIME_MS) * NANOS_PER_MS;
-			lateAt = objectiveEnd - Math.round(profile.turnMs() * NANOS_PER_MS);
-			slackEnd = objectiveEnd - Math.round(profile.remainingMs(this.programs.turnsDone(request)) * NANOS_PER_MS);
+	// A request that was sent again, after its answer was lost, would otherwise hold two
+	// slots, or its first entry would leave the queue without an answer.
+	private void removeEarlier(String id, long now) {
+		this.grants.cancel(id, now);
+		QueuedRequest queued = removeQueued(id);
+		if (queued != null) {
+			queued.answer().accept(SlotDecision.refused(Math.round(this.averageDurationMs), "request was sent again"));
 		}
-		double costMs = (profile.turnMs() > 0) ? profile.turnMs() : this.averageDurationMs;
-		return new QueuedRequest(request, answer, ++this.sequence, now,
-				now + Math.min(maxWaitMs(request), MAX_TIME_MS) * NANOS_PER_MS, lateAt, slackEnd, costMs);
 	}
 
-	private @Nullable RefusalReason checkNewProgram(SlotRequest request) {
-		if (request.programRemainingMs() != Long.MAX_VALUE) {
-			this.programs.profile(request.route()).recordObjective(request.programRemainingMs());
+	private @Nullable QueuedRequest removeQueued(String id) {
+		this.reservation.remove(id);
+		QueuedRequest entry = this.queue.remove(id);
+		if (entry != null) {
+			this.programs.recordDequeued(entry.request(), this.nanoClock.getAsLong());
 		}
+		return entry;
+	}
+
+	private @Nullable RefusalReason checkNewProgram(SlotRequest request) {
 		return this.admission.check(request, this.servers.slotCount(), this.servers.hasSpareSlots(),
-				!this.waits.isOpen(this.averageDurationMs));
+				!this.waits.isOpen(this.averageDurationMs), this.nanoClock.getAsLong());
 	}
 
 	private long retryAfterMs(SlotRequest request) {
@@ -172,40 +164,20 @@
 	}
 
 	private String describe(RefusalReason refusal) {
-		String cause = switch (refusal) {
-			case SLOW_TOOLS -> "time between turns is too long for new programs";
-			case ACCOUNT_DEMAND -> "programs under way need the slots";
-			default -> "started programs wait for slots";
-		};
-		return cause + ", " + this.queue.size() + " waiting and " + this.grants.size() + " in flight";
+		return ProgramAdmissionPolicy.describe(refusal) + ", " + this.queue.size() + " waiting and "
+				+ this.grants.size() + " in flight";
 	}
 
 	private void refuseForWait(QueuedRequest entry, long waitMs) {
-		long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request()) : waitMs;
+		long retryAfterMs = entry.request().isNewProgram() ? retryAfterMs(entry.request()) : waitMs;
 		refuse(entry, RefusalReason.EXPECTED_WAIT, retryAfterMs, "expected wait of " + waitMs + " ms with "
 				+ this.queue.size() + " waiting and " + this.grants.size() + " in flight");
 	}
 
 	private void refuse(QueuedRequest entry, RefusalReason reason, long retryAfterMs, String text) {
 		this.listener.refused(reason);
-		entry.answer().accept(SlotDecision.refused(retryAfterMs, text));
-	}
-
-	// Only turns of programs have a prompt.
-	private static boolean isNewProgram(SlotRequest request) {
-		return !request.programStarted() && !request.prompt().isEmpty();
-	}
-
-	// A program that has already started is to be completed, so its requests may wait
-	// until their deadline. A new program is refused early, while its caller still has
-	// time to return within the objective.
-	private static long maxWaitMs(SlotRequest request) {
-		if (request.programStarted()) {
-			return request.remainingMs();
-		}
-		long objectiveMs = isNewProgram(request) ? Math.round(NEW_PROGRAM_WAIT_FRACTION * request.objectiveMs())
-				: request.objectiveMs();
-		return Math.min(objectiveMs, request.remainingMs());
+		long delayMs = Math.max(1, Math.min(retryAfterMs, MAX_RETRY_AFTER_MS));
+		entry.answer().accept(SlotDecision.refused(delayMs, text));
 	}
 
 	private long expectedWaitMs(int requestsAhead) {
@@ -218,7 +190,7 @@
 	 * @param id identifier of the request
 	 */
 	public void cancel(String id) {
-		this.queue.remove(id);
+		removeQueued(id);
 	}
 
 	/**
@@ -244,30 +216,32 @@
 			return;
 		}
 		long now = this.nanoClock.getAsLong();
-		PoolServer server = grant.server;
-		double durationMs = (now - grant.grantedAtNanos) / (double) NANOS_PER_MS;
-		this.programs.recordRelease(grant.request, (failed || timing.units() == 0) ? -1 : durationMs, now);
-		this.servers.release(server, grant.request, grant.warm, failed ? ResponseTiming.NONE : timing, durationMs, now);
+		// It is not known when an earlier scheduler granted a slot.
+		ResponseTiming measured = (failed || grant.restored()) ? ResponseTiming.NONE : timing;
+		double durationMs = (now - grant.grantedAtNanos()) / (double) NANOS_PER_MS;
+		this.programs.recordRelease(grant.request(), (measured.units() == 0) ? -1 : durationMs, now);
+		this.servers.release(grant.server(), grant.request(), grant.warm(), measured, durationMs, now);
 		if (failed) {
-			server.avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
+			grant.server().avoidUntil(now + FAILURE_COOLDOWN_MS * NANOS_PER_MS);
 		}
-		else if (timing.units() > 0) {
+		else if (measured.units() > 0) {
 			this.averageDurationMs += SAMPLE_WEIGHT * (durationMs - this.averageDurationMs);
 		}
 		grantQueuedRequests();
 	}
 
 	/**
-	 * Records a slot that an earlier scheduler of this pool granted.
+	 * Records a slot that an earlier scheduler of this pool granted. The request leaves
+	 * the queue without an answer, because its daemon already has one.
 	 * @param request the request that holds the slot
 	 * @param serverId identifier of the server
 	 */
 	public void restoreGrant(SlotRequest request, String serverId) {
+		removeQueued(request.id());
 		PoolServer server = this.servers.find(serverId);
-		if (server != null && !this.grants.containsKey(request.id())) {
+		if (server != null && !this.grants.contains(request.id())) {
 			long now = this.nanoClock.getAsLong();
-			boolean warm = this.servers.occupy(server, request, now);
-			this.grants.put(request.id(), new Grant(server, request, now, warm));
+			this.grants.add(server, request, now, true);
 			this.programs.recordGrant(request, now);
 		}
 	}
@@ -277,18 +251,13 @@
 	 * @param holder name of the daemon
 	 */
 	public void releaseAll(String holder) {
-		List<String> requestIds = new ArrayList<>();
-		this.grants.forEach((id, grant) -> {
-			if (grant.request.holder().equals(holder)) {
-				requestIds.add(id);
-			}
-		});
-		requestIds.forEach((id) -> release(id, 0, false));
 		for (QueuedRequest entry : this.queue.entries()) {
 			if (entry.request().holder().equals(holder)) {
 				cancel(entry.request().id());
 			}
 		}
+		this.grants.cancelAll(holder, this.nanoClock.getAsLong());
+		grantQueuedRequests();
 	}
 
 	/**
@@ -297,18 +266,11 @@
 	 */
 	public void expireOverdue() {
 		long now = this.nanoClock.getAsLong();
-		Iterator<Grant> iterator = this.grants.values().iterator();
-		while (iterator.hasNext()) {
-			Grant grant = iterator.next();
-			if (now - grant.grantedAtNanos > (grant.request.remainingMs() + GRANT_TIMEOUT_MARGIN_MS) * NANOS_PER_MS) {
-				grant.server.release(grant.request.id());
-				this.programs.recordRelease(grant.request, -1, now);
-				iterator.remove();
-			}
-		}
+		this.grants.expire(now);
 		this.programs.expire(now);
 		this.admission.expire(now);
 		grantQueuedRequests();
+		refuseWithoutServer();
 		refuseHopeless();
 	}
 
@@ -350,8 +312,11 @@
 	}
 
 	private void refuseOverdue() {
-		for (QueuedRequest entry : this.queue.removeExpired(this.nanoClock.getAsLong())) {
-			long retryAfterMs = isNewProgram(entry.request()) ? retryAfterMs(entry.request())
+		long now = this.nanoClock.getAsLong();
+		for (QueuedRequest entry : this.queue.removeExpired(now)) {
+			this.programs.recordDequeued(entry.request(), now);
+			this.reservation.remove(entry.request().id());
+			long retryAfterMs = entry.request().isNewProgram() ? retryAfterMs(entry.request())
 					: Math.round(this.averageDurationMs);
 			refuse(entry, RefusalReason.WAITED, retryAfterMs, "waited too long for a slot");
 		}
@@ -362,43 +327,45 @@
 	private void refuseHopeless() {
 		long now = this.nanoClock.getAsLong();
 		long slots = this.servers.slotCount();
-		Map<QueuedRequest, Long> hopeless = new LinkedHashMap<>();
-		this.queue.forEach((entry, ahead) -> {
-			double tolerance = isNewProgram(entry.request()) ? 1 : STARTED_WAIT_TOLERANCE;
-			long leftMs = (entry.expiresAtNanos() - now) / NANOS_PER_MS;
-			// The first request of the queue is waiting for the next free slot.
-			double waitMs = ahead * this.averageDurationMs / Math.max(1, slots);
-			if (waitMs > tolerance * leftMs) {
-				hopeless.put(entry, Math.round(waitMs));
-			}
-		});
+		Map<QueuedRequest, Long> hopeless = this.queue.findHopeless(now, this.averageDurationMs / Math.max(1, slots));
 		hopeless.forEach((entry, waitMs) -> {
-			if (this.queue.remove(entry.request().id()) != null) {
+			if (removeQueued(entry.request().id()) != null) {
 				refuseForWait(entry, waitMs);
 			}
 		});
 	}
 
+	// Called at intervals, so that a server that is replaced in two updates of the list
+	// costs no requests.
+	private void refuseWithoutServer() {
+		if (!this.serversChanged) {
+			return;
+		}
+		this.serversChanged = false;
+		for (QueuedRequest entry : this.queue.entries()) {
+			if (!this.servers.hasAvailable(entry.request().excluded()) && removeQueued(entry.request().id()) != null) {
+				refuse(entry, RefusalReason.NO_SERVER, FAILURE_COOLDOWN_MS, "no server is left");
+			}
+		}
+	}
+
 	private @Nullable PoolServer select(SlotRequest request) {
 		return this.servers.select(request, this.averageDurationMs, this.nanoClock.getAsLong());
 	}
 
 	private void grantQueuedRequests() {
 		refuseOverdue();
-		PoolServer[] selected = new PoolServer[1];
+		CandidateSearch search = new CandidateSearch(this::select, this.reservation);
 		while (!this.queue.isEmpty() && this.servers.hasFreeSlot()) {
-			QueuedRequest entry = this.queue.poll(this.nanoClock.getAsLong(), (candidate) -> {
-				selected[0] = select(candidate.request());
-				return selected[0] != null;
-			});
+			QueuedRequest entry = this.queue.poll(this.nanoClock.getAsLong(), search);
 			if (entry == null) {
 				return;
 			}
-			// The last candidate that was tried may have been another one.
-			PoolServer server = (selected[0] != null) ? selected[0] : select(entry.request());
+			PoolServer server = search.serverOf(entry);
 			if (server != null) {
 				grant(server, entry);
 			}
+			this.programs.recordDequeued(entry.request(), this.nanoClock.getAsLong());
 		}
 	}
 
@@ -406,17 +373,18 @@
 		SlotRequest request = entry.request();
 		long now = this.nanoClock.getAsLong();
 		double waitMs = (now - entry.enqueuedAtNanos()) / (double) NANOS_PER_MS;
+		if (request.isNewProgram() && request.programRemainingMs() != Long.MAX_VALUE) {
+			this.programs.profile(request.route()).recordObjective(request.programRemainingMs());
+		}
 		if (request.programStarted()) {
 			this.waits.recordWait(waitMs);
 		}
 		this.programs.recordGrant(request, now);
+		this.reservation.recordGrant();
+		this.reservation.remove(request.id());
 		this.listener.granted(request.priority(), Math.round(waitMs));
-		boolean warm = this.servers.occupy(server, request, now);
-		this.grants.put(request.id(), new Grant(server, request, now, warm));
+		this.grants.add(server, request, now, false);
 		entry.answer().accept(SlotDecision.granted(server.member()));
 	}
 
-	private record Grant(PoolServer server, SlotRequest request, long grantedAtNanos, boolean warm) {
-	}
-
 }
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramAdmissionPolicy.java
@@ -30,12 +30,16 @@
 	 * @param slots number of slots of the pool
 	 * @param spare whether slots are free
 	 * @param startedWait whether requests of started programs wait
+	 * @param nowNanos current time
 	 * @return why the program is refused, or null if it may begin
 	 */
-	@Nullable RefusalReason check(SlotRequest request, long slots, boolean spare, boolean startedWait) {
+	@Nullable RefusalReason check(SlotRequest request, long slots, boolean spare, boolean startedWait, long nowNanos) {
 		this.returns.remove(request);
 		RouteProfile profile = this.programs.profile(request.route());
-		if (profile.isSlowedByPauses()) {
+		// Free slots are spare only beyond those that the programs in the tools need when
+		// they come back.
+		boolean needed = !spare || this.programs.activeCount() >= slots;
+		if (needed && profile.isSlowedByPauses(nowNanos)) {
 			return RefusalReason.SLOW_TOOLS;
 		}
 		if (spare) {
@@ -59,6 +63,19 @@
 		return fits ? null : RefusalReason.ACCOUNT_DEMAND;
 	}
 
+	/**
+	 * Describes why a program is refused.
+	 * @param refusal the reason
+	 * @return text for the caller
+	 */
+	static String describe(RefusalReason refusal) {
+		return switch (refusal) {
+			case SLOW_TOOLS -> "time between turns is too long for new programs";
+			case ACCOUNT_DEMAND -> "programs under way need the slots";
+			default -> "started programs wait for slots";
+		};
+	}
+
 	/**
 	 * Returns the time after which a refused program may return.
 	 * @param request its first request
--- a/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
+++ b/core/src/main/java/org/hemlockgw/core/pool/ProgramsUnderWay.java
@@ -23,6 +23,12 @@
 	/** Maximum number of routes with a profile; names come from the configuration. */
 	private static final int MAX_ROUTES = 1000;
 
+	/**
+	 * Maximum number of programs without a turn that are kept. Callers choose their
+	 * objectives, until which a program is kept.
+	 */
+	private static final int MAX_PROGRAMS = 65_536;
+
 	private static final double NANOS_PER_MS = 1_000_000;
 
 	// In the order of the last activity.
@@ -34,6 +40,8 @@
 
 	private double demand;
 
+	private int activeCount;
+
 	/**
 	 * Returns the profile of a route.
 	 * @param route name of the route
@@ -47,19 +55,68 @@
 	}
 
 	/**
-	 * Records the arrival of a request of a program that has begun.
+	 * Records the arrival of a request of a program that has begun. The first one after a
+	 * completed turn ends the pause; one that returns after a refusal doesn't.
 	 * @param request the request
 	 * @param nowNanos current time
 	 */
 	void recordArrival(SlotRequest request, long nowNanos) {
 		Program program = find(request);
-		if (program != null && program.openTurns == 0) {
-			program.profile.recordPause((nowNanos - program.idleSinceNanos) / NANOS_PER_MS);
+		if (program != null && program.pausing) {
+			program.pausing = false;
+			program.profile.recordPause((nowNanos - program.idleSinceNanos) / NANOS_PER_MS, nowNanos);
 			program.profile.recordContinuation(program.turnsDone, true);
 			setDemand(program, program.profile.slotsPerProgram());
 		}
 	}
 
+	/**
+	 * Records that a request waits for a slot. Its program needs one at least as much as
+	 * those that hold one.
+	 * @param request the request
+	 * @param nowNanos current time
+	 */
+	void recordQueued(SlotRequest request, long nowNanos) {
+		if (!request.program().isEmpty()) {
+			Program program = findOrAdd(request, nowNanos);
+			program.waitingTurns++;
+			setDemand(program, program.profile.slotsPerProgram());
+		}
+	}
+
+	/**
+	 * Records that a request doesn't wait any more, after its grant was recorded if it
+	 * received a slot.
+	 * @param request the request
+	 * @param nowNanos current time
+	 */
+	void recordDequeued(SlotRequest request, long nowNanos) {
+		Program program = find(request);
+		if (program == null || program.waitingTurns == 0) {
+			return;
+		}
+		program.waitingTurns--;
+		if (program.isActive()) {
+			return;
+		}
+		program.idleSinceNanos = nowNanos;
+		if (program.begun) {
+			setDemand(program, program.profile.slotsPerProgram() * program.profile.continuation(program.turnsDone));
+		}
+		else {
+			setDemand(program, 0);
+			this.programs.remove(key(request));
+		}
+	}
+
+	private Program findOrAdd(SlotRequest request, long nowNanos) {
+		if (this.programs.size() >= MAX_PROGRAMS) {
+			removeOldest();
+		}
+		return this.programs.computeIfAbsent(key(request),
+				(key) -> new Program(request.account(), profile(request.route()), nowNanos));
+	}
+
 	/**
 	 * Records that a request has received a slot.
 	 * @param request the request
@@ -69,8 +126,8 @@
 		if (request.program().isEmpty()) {
 			return;
 		}
-		Program program = this.programs.computeIfAbsent(key(request),
-				(key) -> new Program(request.account(), profile(request.route()), nowNanos));
+		Program program = findOrAdd(request, nowNanos);
+		program.begun = true;
 		program.openTurns++;
 		if (request.programRemainingMs() != Long.MAX_VALUE) {
 			program.objectiveEndNanos = nowNanos + Math.round(request.programRemainingMs() * NANOS_PER_MS);
@@ -81,8 +138,8 @@
 	/**
 	 * Records that a request has released its slot.
 	 * @param request the request
-	 * @param durationMs time in the slot in milliseconds; negative if it says nothing
-	 * about the route
+	 * @param durationMs time in the slot in milliseconds; negative if no turn was
+	 * completed
 	 * @param nowNanos current time
 	 */
 	void recordRelease(SlotRequest request, double durationMs, long nowNanos) {
@@ -94,9 +151,12 @@
 			return;
 		}
 		program.openTurns--;
-		program.turnsDone++;
 		program.idleSinceNanos = nowNanos;
-		if (program.openTurns == 0) {
+		if (durationMs >= 0) {
+			program.turnsDone++;
+			program.pausing = true;
+		}
+		if (!program.isActive()) {
 			setDemand(program, program.profile.slotsPerProgram() * program.profile.continuation(program.turnsDone));
 		}
 	}
@@ -110,7 +170,7 @@
 		while (iterator.hasNext()) {
 			Program program = iterator.next();
 			double idleMs = (nowNanos - program.idleSinceNanos) / NANOS_PER_MS;
-			if (program.openTurns > 0) {
+			if (program.isActive()) {
 				continue;
 			}
 			if (idleMs < Math.max(MIN_IDLE_MS, MAX_PAUSES * program.profile.pauseMs())) {
@@ -121,8 +181,22 @@
 			setDemand(program, 0);
 			// It may wait for a slow tool until its objective has passed.
 			if (nowNanos - program.objectiveEndNanos >= 0) {
-				program.profile.recordContinuation(program.turnsDone, false);
+				if (program.pausing) {
+					program.profile.recordContinuation(program.turnsDone, false);
+				}
+				iterator.remove();
+			}
+		}
+	}
+
+	private void removeOldest() {
+		Iterator<Program> iterator = this.programs.values().iterator();
+		while (iterator.hasNext()) {
+			Program program = iterator.next();
+			if (!program.isActive()) {
+				setDemand(program, 0);
 				iterator.remove();
+				return;
 			}
 		}
 	}
@@ -145,6 +219,14 @@
 		return Math.max(0, this.demand);
 	}
 
+	/**
+	 * Returns the number of programs that are expected to run further turns.
+	 * @return number of programs
+	 */
+	int activeCount() {
+		return this.activeCount;
+	}
+
 	/**
 	 * Returns the average number of slots that the programs of an account occupy.
 	 * @param account name of the account
@@ -172,7 +254,9 @@
 
 	private void setDemand(Program program, double slots) {
 		double change = slots - program.demand;
-		program.profile.changeActivePrograms(((slots > 0) ? 1 : 0) - ((program.demand > 0) ? 1 : 0));
+		int activeChange = ((slots > 0) ? 1 : 0) - ((program.demand > 0) ? 1 : 0);
+		this.activeCount += activeChange;
+		program.profile.changeActivePrograms(activeChange);
 		program.demand = slots;
 		this.demand += change;
 		double accountDemand = this.demandByAccount.merge(program.account, change, Double::sum);
@@ -190,8 +274,15 @@
 
 		private int openTurns;
 
+		private int waitingTurns;
+
 		private int turnsDone;
 
+		private boolean begun;
+
+		// Whether the last activity was a completed turn.
+		private boolean pausing;
+
 		private long idleSinceNanos;
 
 		private long objectiveEndNanos;
@@ -205,6 +296,10 @@
 			this.objectiveEndNanos = nowNanos;
 		}
 
+		boolean isActive() {
+			return this.openTurns > 0 || this.waitingTurns > 0;
+		}
+
 	}
 
 }
