Start qualified identifiers with a line feed

A daemon whose configuration has no accounts yet passes identifiers on unchanged, so a caller could send "3:redt1" and reach a turn of red. No HTTP header value contains a line feed. The command explain finds the new form and prints it escaped.

MainTests.explainsARequestFromLogs and AccountTests.qualifiedIdentifierCannotBeSentByACaller failed before and pass now.

--- a/cli/src/main/java/org/hemlockgw/cli/LogFiles.java
+++ b/cli/src/main/java/org/hemlockgw/cli/LogFiles.java
@@ -28,10 +28,10 @@
 	static final String STANDARD_INPUT = "-";
 
 	/**
-	 * Text that may be an identifier qualified with a client account: length of the
-	 * account's name, colon, name, identifier.
+	 * Text that may be an identifier qualified with a client account: line feed as
+	 * escaped in JSON, length of the account's name, colon, name, identifier.
 	 */
-	private static final Pattern QUALIFIED = Pattern.compile("\"(\\d{1,3}):([^\"]*)\"");
+	private static final Pattern QUALIFIED = Pattern.compile("\"\\\\n(\\d{1,3}):([^\"]*)\"");
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -106,7 +106,7 @@
 				.forEachRemaining((field) -> text.append(", ")
 					.append(field.getKey())
 					.append(' ')
-					.append(field.getValue().asText()));
+					.append(field.getValue().asText().replace("\n", "\\n")));
 		}
 		return text.toString();
 	}
--- a/cli/src/test/java/org/hemlockgw/cli/MainTests.java
+++ b/cli/src/test/java/org/hemlockgw/cli/MainTests.java
@@ -122,13 +122,13 @@
 		Files.write(file, List.of(otherPrefix + logLine(2000, "RequestLog", "refused", "r1", "status", "503"),
 				prefix + logLine(1000, "ProgramOwner", "turn to continue is not found", "r1", "parent", "t0"),
 				prefix + logLine(1500, "RequestLog", "refused", "r12", "status", "404"),
-				prefix + logLine(1600, "TurnEnd", "other request", "3:xr1", "parent", "t0"),
-				prefix + logLine(1700, "ProgramOwner", "not found", "3:redr1", "parent", "3:redt0"),
+				prefix + logLine(1600, "TurnEnd", "other request", "\\n3:xr1", "parent", "t0"),
+				prefix + logLine(1700, "ProgramOwner", "not found", "\\n3:redr1", "parent", "\\n3:redt0"),
 				prefix + logLine(1500, "RequestLog", "refused", "x-r1", "status", "404"), "request r1 {cut off"));
 		assertThat(output("explain", "r1", "--log-file", file.toString())).isEqualTo("1970-01-01T00:00:01Z  " + first
 				+ "  INFO  ProgramOwner: turn to continue is not found, request r1, parent t0\n"
 				+ "1970-01-01T00:00:01.700Z  " + first
-				+ "  INFO  ProgramOwner: not found, request 3:redr1, parent 3:redt0\n" + "1970-01-01T00:00:02Z  "
+				+ "  INFO  ProgramOwner: not found, request \\n3:redr1, parent \\n3:redt0\n" + "1970-01-01T00:00:02Z  "
 				+ second + "  INFO  RequestLog: refused, request r1, status 503\n");
 		assertThat(this.err.toString()).contains("skipped 1 lines");
 		assertThat(run("explain", "r9", "--log-file", file.toString())).isEqualTo(ExitStatus.FAILED);
--- a/core/src/main/java/org/hemlockgw/core/account/AccountScope.java
+++ b/core/src/main/java/org/hemlockgw/core/account/AccountScope.java
@@ -11,6 +11,8 @@
  */
 public record AccountScope(boolean enabled, @Nullable ClientAccount account) {
 
+	private static final String MARK = "\n";
+
 	/** Scope of all requests if accounts are disabled. */
 	public static final AccountScope DISABLED = new AccountScope(false, null);
 
@@ -47,7 +49,9 @@
 	/**
 	 * Makes a caller's identifier unique among all accounts. The length prefix separates
 	 * the account's name from the identifier, so that no identifier of one account equals
-	 * one of another, whatever characters both contain.
+	 * one of another, whatever characters both contain. The line feed in front can't be
+	 * part of an HTTP header value, so that no caller can send a qualified identifier to
+	 * a daemon whose configuration has no accounts yet.
 	 * @param identifier identifier of a request or program
 	 * @return the qualified identifier; unchanged if accounts are disabled
 	 */
@@ -56,7 +60,7 @@
 			return identifier;
 		}
 		String name = accountName();
-		return name.length() + ":" + name + identifier;
+		return MARK + name.length() + ":" + name + identifier;
 	}
 
 }
