Evaluate proofs lazily and decide on requests to peers without accounts

The proof was evaluated for each request, also without accounts and on public routes. A daemon without accounts never asked other daemons for a newer configuration, so it served without keys for ever after it lost the store. The schedule now allows one request per proof bound in that case, and none while the own proof is within the bound.

--- a/core/src/main/java/org/hemlockgw/core/account/AccountAccess.java
+++ b/core/src/main/java/org/hemlockgw/core/account/AccountAccess.java
@@ -1,5 +1,7 @@
 package org.hemlockgw.core.account;
 
+import java.util.function.BooleanSupplier;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -16,12 +18,12 @@
 	 * Decides on a request.
 	 * @param accounts accounts of the configuration; null if accounts are disabled
 	 * @param publicRoute whether the route needs no key
-	 * @param proofValid whether the configuration is known to be recent enough for the
-	 * use of its keys
+	 * @param proofValid returns whether the configuration is known to be recent enough
+	 * for the use of its keys; called only if a key is needed
 	 * @param credentials value of the caller's authorization header; null if missing
 	 * @return the decision
 	 */
-	public static Decision decide(@Nullable AccountDirectory accounts, boolean publicRoute, boolean proofValid,
+	public static Decision decide(@Nullable AccountDirectory accounts, boolean publicRoute, BooleanSupplier proofValid,
 			@Nullable String credentials) {
 		if (accounts == null) {
 			return new Decision(Outcome.ACCEPTED, AccountScope.DISABLED);
@@ -31,7 +33,7 @@
 		}
 		// A newer configuration may contain a key that is unknown here, so 401 would not
 		// be final.
-		if (!proofValid) {
+		if (!proofValid.getAsBoolean()) {
 			return new Decision(Outcome.PROOF_TOO_OLD, AccountScope.PUBLIC);
 		}
 		String key = parseKey(credentials);
--- a/core/src/main/java/org/hemlockgw/core/account/ConfigurationProof.java
+++ b/core/src/main/java/org/hemlockgw/core/account/ConfigurationProof.java
@@ -20,6 +20,12 @@
 	 */
 	private static final double BOUND_FRACTION = 0.9;
 
+	/**
+	 * Age, as a multiple of the bound, from which on an outage is assumed to affect all
+	 * daemons. Within two bounds after the expiry at least six other daemons are asked.
+	 */
+	private static final int LOST_BOUNDS = 3;
+
 	private final @Nullable Duration bound;
 
 	private final SuspendAwareClock clock;
@@ -75,6 +81,16 @@
 		return this.bound == null || ageNanos() < this.bound.toNanos();
 	}
 
+	/**
+	 * Returns whether the proof expired so recently that other daemons probably have one.
+	 * After three times the bound without any proof, the store is away for all daemons.
+	 * @return false if the proof is valid or expired long ago
+	 */
+	public boolean isRecentlyLost() {
+		return this.bound != null && !isValid()
+				&& (this.provenNanos == null || ageNanos() < LOST_BOUNDS * this.bound.toNanos());
+	}
+
 	/**
 	 * Returns the age at which a proof expires.
 	 * @return the age; null if no proof is needed
--- a/core/src/main/java/org/hemlockgw/core/account/PeerProofSchedule.java
+++ b/core/src/main/java/org/hemlockgw/core/account/PeerProofSchedule.java
@@ -51,6 +51,8 @@
 
 	private long nextRequestNanos;
 
+	private long lastRequestNanos;
+
 	private long intervalNanos = MIN_INTERVAL_NANOS;
 
 	private int uselessRequests;
@@ -86,6 +88,26 @@
 		if (this.pending || ageNanos < this.boundNanos * fraction || nowNanos - this.nextRequestNanos < 0) {
 			return null;
 		}
+		return choose(nowNanos, peers);
+	}
+
+	/**
+	 * Chooses the daemon to ask now while the configuration in force has no accounts. No
+	 * request depends on the proof then, but a newer configuration may have accounts.
+	 * @param nowNanos monotonic time
+	 * @param ageNanos age of the own proof
+	 * @param peers returns the addresses of the other daemons; called only if one is
+	 * needed
+	 * @return address of a daemon, to which a request must be sent; null to send none
+	 */
+	public @Nullable String nextWithoutAccounts(long nowNanos, long ageNanos,
+			Supplier<? extends Collection<String>> peers) {
+		boolean early = nowNanos - this.nextRequestNanos < 0
+				|| (!this.lastPeer.isEmpty() && nowNanos - this.lastRequestNanos < this.boundNanos);
+		return (this.pending || ageNanos < this.boundNanos || early) ? null : choose(nowNanos, peers);
+	}
+
+	private @Nullable String choose(long nowNanos, Supplier<? extends Collection<String>> peers) {
 		this.failures.values().removeIf((failure) -> nowNanos - failure > FAILURE_BACKOFF_NANOS);
 		List<String> candidates = new ArrayList<>(peers.get());
 		if (candidates.size() > 1) {
@@ -99,6 +121,7 @@
 		}
 		this.lastPeer = candidates.get(this.random.nextInt(candidates.size()));
 		this.pending = true;
+		this.lastRequestNanos = nowNanos;
 		this.nextRequestNanos = nowNanos + this.intervalNanos;
 		return this.lastPeer;
 	}
--- a/core/src/test/java/org/hemlockgw/core/account/AccountTests.java
+++ b/core/src/test/java/org/hemlockgw/core/account/AccountTests.java
@@ -38,6 +38,14 @@
 		assertThat(AccountScope.DISABLED.qualify(id)).isEqualTo(id);
 	}
 
+	// Guards against an identifier that a caller forges through a daemon whose
+	// configuration has no accounts yet; no HTTP header value contains a line feed.
+	@Example
+	void qualifiedIdentifierCannotBeSentByACaller() {
+		assertThat(scope("red").qualify("t1")).startsWith("\n");
+		assertThat(scope("").qualify("t1")).startsWith("\n");
+	}
+
 	private static AccountScope scope(String account) {
 		return account.isEmpty() ? AccountScope.PUBLIC : AccountScope.of(new ClientAccount(account, null, null));
 	}
@@ -52,12 +60,15 @@
 			"Bearer key-blue, false, false, PROOF_TOO_OLD, ''", "Bearer key-red, true, false, ACCEPTED, ''" })
 	void requestIsDecidedByRouteProofAndKey(@Nullable String credentials, boolean publicRoute, boolean proofValid,
 			AccountAccess.Outcome outcome, String account) {
-		AccountAccess.Decision decision = AccountAccess.decide(ACCOUNTS, publicRoute, proofValid, credentials);
+		AccountAccess.Decision decision = AccountAccess.decide(ACCOUNTS, publicRoute, () -> proofValid, credentials);
 		assertThat(decision.outcome()).isEqualTo(outcome);
 		assertThat(decision.scope().accountName()).isEqualTo(account);
 		assertThat(decision.scope().priority(1)).isEqualTo(account.isEmpty() ? 1 : 4);
-		assertThat(AccountAccess.decide(null, publicRoute, proofValid, credentials).scope())
+		assertThat(AccountAccess.decide(null, publicRoute, AccountTests::unexpected, credentials).scope())
 			.isEqualTo(AccountScope.DISABLED);
+		// Guards against a clock that is read for requests that need no key.
+		assertThat(AccountAccess.decide(ACCOUNTS, true, AccountTests::unexpected, credentials).scope())
+			.isEqualTo(AccountScope.PUBLIC);
 	}
 
 	// Guards against a suspension that neither clock shows by itself: the monotonic clock
@@ -80,6 +91,27 @@
 		assertThat(clock.getAsLong() - begin).isAtLeast(TimeUnit.MILLISECONDS.toNanos(minMs));
 	}
 
+	private static boolean unexpected() {
+		throw new AssertionError("the proof was evaluated");
+	}
+
+	// Guards against a daemon that stays without accounts for ever while it has no path
+	// to
+	// the store, and against requests to other daemons in normal operation.
+	@Example
+	void newerConfigurationIsRequestedRarelyWithoutAccounts() {
+		PeerProofSchedule schedule = new PeerProofSchedule(Duration.ofMillis(4500), 0, 7);
+		long now = Duration.ofSeconds(10).toNanos();
+		assertThat(schedule.nextWithoutAccounts(now, Duration.ofMillis(4499).toNanos(), () -> List.of("a"))).isNull();
+		assertThat(schedule.nextWithoutAccounts(now, Duration.ofMillis(4500).toNanos(), () -> List.of("a")))
+			.isEqualTo("a");
+		schedule.replied(false);
+		now += Duration.ofMillis(4499).toNanos();
+		assertThat(schedule.nextWithoutAccounts(now, Long.MAX_VALUE, () -> List.of("a"))).isNull();
+		now += Duration.ofMillis(1).toNanos();
+		assertThat(schedule.nextWithoutAccounts(now, Long.MAX_VALUE, () -> List.of("a"))).isEqualTo("a");
+	}
+
 	// Guards against requests to other daemons that exceed their rate, repeat the same
 	// daemon, or are made although the store answers.
 	@Property(seed = "42", tries = 200)
--- a/core/src/test/java/org/hemlockgw/core/account/RevocationModel.java
+++ b/core/src/test/java/org/hemlockgw/core/account/RevocationModel.java
@@ -114,7 +114,7 @@
 			return;
 		}
 		AccountAccess.Outcome outcome = AccountAccess
-			.decide((daemon.version == 1) ? WITH_KEY : WITHOUT_KEY, false, daemon.proof.isValid(), "Bearer key")
+			.decide((daemon.version == 1) ? WITH_KEY : WITHOUT_KEY, false, () -> daemon.proof.isValid(), "Bearer key")
 			.outcome();
 		if (outcome == AccountAccess.Outcome.PROOF_TOO_OLD) {
 			this.refusedAsUnproven++;
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -115,7 +115,7 @@
 			return;
 		}
 		AccountAccess.Decision access = AccountAccess.decide(routes.accounts(), route.publicAccess(),
-				this.services.proof().isValid(), this.callerRequest.credentials());
+				this.services.proof()::isValid, this.callerRequest.credentials());
 		if (hasLongIdentifier(access.scope())) {
 			refuse(400, 0, "an identifier is longer than " + MAX_IDENTIFIER_LENGTH + " characters");
 			return;
