--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/HeadDecision.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/HeadDecision.java
@@ -64,7 +64,7 @@
 			return refuse(routes, 400, 0, "request identifier is missing");
 		}
 		AccountAccess.Decision access = AccountAccess.decide(routes.accounts(), route.publicAccess(),
-				services.proof().isValid(), request.credentials());
+				services.proof()::isValid, request.credentials());
 		if (hasLongIdentifier(access.scope(), request)) {
 			return refuse(routes, 400, 0, "an identifier is longer than " + MAX_IDENTIFIER_LENGTH + " characters");
 		}
