Close the connection when a write fails

Cause: the listeners of writes did not look at the result. After an OutOfDirectMemoryError in one part of a stream, the later parts and its end could still be sent, and the caller took it for complete.

Change: FailedWrites ends the process if memory is exhausted and closes the channel after any other failure, for responses, parts of streams, frames between daemons and status responses. PeerFramesTests covers frames; it was not run on the code before. The listeners at responses have no test yet.

--- a/gateway/src/main/java/org/hemlockgw/gateway/StatusServer.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/StatusServer.java
@@ -30,6 +30,7 @@
 import org.hemlockgw.core.limit.ConnectionGroup;
 import org.hemlockgw.core.limit.MemoryBudget;
 import org.hemlockgw.gateway.net.CountedHeaders;
+import org.hemlockgw.gateway.net.FailedWrites;
 import org.hemlockgw.gateway.telemetry.MemoryExhaustion;
 
 /**
@@ -133,7 +134,7 @@
 			if (this.closing) {
 				response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 			}
-			ctx.writeAndFlush(response).addListener((sent) -> {
+			ctx.writeAndFlush(response).addListener(FailedWrites.CLOSE).addListener((sent) -> {
 				enter(ClientMemory.Phase.IDLE);
 				if (this.closing) {
 					ctx.close();
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -34,6 +34,7 @@
 import org.hemlockgw.core.limit.MemoryBudget;
 import org.hemlockgw.core.route.CallerLimits;
 import org.hemlockgw.core.route.RoutingTable;
+import org.hemlockgw.gateway.net.FailedWrites;
 import org.hemlockgw.gateway.telemetry.LogFields;
 import org.hemlockgw.gateway.telemetry.MemoryExhaustion;
 
@@ -331,6 +332,7 @@
 			this.budget.charge(held, bytes);
 			sent.addListener((done) -> this.budget.release(held, bytes));
 		}
+		sent.addListener(FailedWrites.CLOSE);
 		sent.addListener((done) -> finishExchange());
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -14,6 +14,7 @@
 import org.hemlockgw.core.route.RequestKind;
 import org.hemlockgw.core.route.Route;
 import org.hemlockgw.core.route.RoutingTable;
+import org.hemlockgw.gateway.net.FailedWrites;
 import org.hemlockgw.gateway.peer.PeerMessage;
 
 /**
@@ -174,6 +175,7 @@
 		relay.discard();
 		this.caller.channel()
 			.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+			.addListener(FailedWrites.CLOSE)
 			.addListener((written) -> this.caller.finishExchange());
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 
+import org.hemlockgw.gateway.net.FailedWrites;
+
 /**
  * Relays a backend server's response to one attempt to the caller. An event stream is
  * forwarded while it arrives, any other response is buffered and sent whole.
@@ -128,7 +130,7 @@
 		}
 		this.buffered = null;
 		sendHead();
-		this.caller.channel().writeAndFlush(new DefaultHttpContent(buffer));
+		this.caller.channel().writeAndFlush(new DefaultHttpContent(buffer)).addListener(FailedWrites.CLOSE);
 		return this.caller.channel().isWritable();
 	}
 
@@ -143,7 +145,7 @@
 		HttpResponse response = this.wireFormat.toCallerResponse(this.head);
 		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		this.caller.applyConnectionClose(response);
-		this.caller.channel().write(response);
+		this.caller.channel().write(response).addListener(FailedWrites.CLOSE);
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerFrames.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerFrames.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 
+import org.hemlockgw.gateway.net.FailedWrites;
+
 /**
  * Reads and writes frames with a length prefix of four bytes.
  */
@@ -30,7 +32,8 @@
 	static ChannelFuture write(Channel channel, long correlation, PeerMessage message) {
 		byte[] bytes = PeerCodec.encode(new PeerCodec.Frame(correlation, message));
 		ByteBuf length = channel.alloc().buffer(LENGTH_BYTES).writeInt(bytes.length);
-		return channel.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(bytes)));
+		return channel.writeAndFlush(Unpooled.wrappedBuffer(length, Unpooled.wrappedBuffer(bytes)))
+			.addListener(FailedWrites.CLOSE);
 	}
 
 	static byte[] readBytes(ByteBuf frame) {
