Close unused connections of a full port before those that send

Cause: heads and bodies in progress were closed before idle connections, connections that were accepted in one pass closed each other, and a caller counted as stalled at the first check that found no progress.

Change: the order is stalled for 1 s, idle, silent for 300 ms, head or body without progress, head or body with progress. A younger connection and one whose request runs are never closed.

--- a/core/src/main/java/org/hemlockgw/core/limit/MemoryBudget.java
+++ b/core/src/main/java/org/hemlockgw/core/limit/MemoryBudget.java
@@ -30,6 +30,13 @@
 	 */
 	static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+	/**
+	 * Time in nanoseconds after it was accepted within which a connection isn't closed in
+	 * favour of others. Otherwise the connections that are accepted in one pass of the
+	 * event loop would close each other before their requests are read.
+	 */
+	static final long FIRST_REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
 	/**
 	 * Time in nanoseconds that a large body waits for memory. Deadlines of callers are a
 	 * few seconds.
@@ -125,27 +132,30 @@
 		return memory;
 	}
 
-	// Connections that stalled come first, then those without a complete request, then
-	// idle ones; of each kind the one with the oldest progress.
-	private static @Nullable ClientMemory findConnectionToClose(ConnectionGroup group) {
+	private @Nullable ClientMemory findConnectionToClose(ConnectionGroup group) {
 		ClientMemory found = null;
 		for (ClientMemory memory : group.members) {
-			if (memory.closing || (memory.phase == Phase.ANSWERING && memory.stalledSinceNanos == 0)) {
+			if (memory.closing || rank(memory) == Rank.NEVER_CLOSED) {
 				continue;
 			}
-			if (found == null || rank(memory) < rank(found)
-					|| (rank(memory) == rank(found) && memory.progressNanos - found.progressNanos < 0)) {
+			int order = (found != null) ? rank(memory).compareTo(rank(found)) : -1;
+			if (order < 0 || (order == 0 && found != null && memory.progressNanos - found.progressNanos < 0)) {
 				found = memory;
 			}
 		}
 		return found;
 	}
 
-	private static int rank(ClientMemory memory) {
-		if (memory.stalledSinceNanos != 0) {
-			return 0;
+	private Rank rank(ClientMemory memory) {
+		if (isStalled(memory)) {
+			return Rank.STALLED;
 		}
-		return (memory.phase == Phase.IDLE) ? 2 : 1;
+		return switch (memory.phase) {
+			case IDLE -> Rank.IDLE;
+			case NEW -> (now() - memory.phaseSinceNanos < FIRST_REQUEST_NANOS) ? Rank.NEVER_CLOSED : Rank.UNUSED;
+			case HEAD, BODY -> (memory.stalledSinceNanos != 0) ? Rank.SLOW : Rank.RECEIVING;
+			case ANSWERING -> Rank.NEVER_CLOSED;
+		};
 	}
 
 	/**
@@ -459,4 +469,13 @@
 		return this.nanoClock.getAsLong();
 	}
 
+	/**
+	 * Order in which connections of a full port are closed.
+	 */
+	private enum Rank {
+
+		STALLED, IDLE, UNUSED, SLOW, RECEIVING, NEVER_CLOSED
+
+	}
+
 }
