Close no connection whose request runs for the memory of a response

Cause: MemoryBudget.charge closed the largest holder if none had stalled, also one whose request runs or whose response is read, and a response was counted whole although a part was already written to the socket.

Change: only stalled connections and those without a running request are closed. Responses count with the bytes that were not sent. Until the next check finds stalled callers, responses may exceed the small area.

Measured: responseClosesNoConnectionWhoseRequestRuns fails on the code before.

--- a/core/src/main/java/org/hemlockgw/core/limit/MemoryBudget.java
+++ b/core/src/main/java/org/hemlockgw/core/limit/MemoryBudget.java
@@ -226,7 +226,8 @@
 
 	/**
 	 * Counts memory that is already used, for example by a response. While there is too
-	 * little, the connections that hold most are closed.
+	 * little, the connections that hold most are closed, but none whose request runs or
+	 * whose response is read.
 	 * @param memory memory of the connection
 	 * @param bytes number of bytes
 	 */
@@ -269,7 +270,8 @@
 		for (ConnectionGroup group : this.groups) {
 			for (ClientMemory memory : group.members) {
 				long bytes = held(memory, large);
-				if (memory == except || memory.closing || bytes == 0 || (stalledOnly && !isStalled(memory))) {
+				boolean closable = isStalled(memory) || (!stalledOnly && memory.phase != Phase.ANSWERING);
+				if (memory == except || memory.closing || bytes == 0 || !closable) {
 					continue;
 				}
 				if (found == null || bytes > held(found, large)
--- a/core/src/test/java/org/hemlockgw/core/limit/MemoryBudgetTests.java
+++ b/core/src/test/java/org/hemlockgw/core/limit/MemoryBudgetTests.java
@@ -188,6 +188,21 @@
 		assertThat(this.closed).containsExactly(paused);
 	}
 
+	// Guards against closing a connection whose request runs, or whose response is read,
+	// because a response takes much memory.
+	@Test
+	void responseClosesNoConnectionWhoseRequestRuns() {
+		Client running = open(Phase.ANSWERING);
+		Client reading = open(Phase.ANSWERING);
+		Client sending = open(Phase.BODY);
+		assertThat(this.budget.reserve(running.memory(), 500)).isTrue();
+		assertThat(this.budget.reserve(sending.memory(), 300)).isTrue();
+		this.budget.charge(reading.memory(), 600);
+		assertThat(this.closed).containsExactly(sending);
+		this.budget.charge(reading.memory(), 600);
+		assertThat(this.closed).containsExactly(sending);
+	}
+
 	// Guards against memory that is counted twice or never released.
 	@Property(tries = 200, seed = "20261206")
 	void nothingIsHeldWhenAllConnectionsAreClosed(@ForAll long seed) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -325,10 +325,10 @@
 	 */
 	void sendResponse(DefaultFullHttpResponse response) {
 		applyConnectionClose(response);
-		long bytes = response.content().readableBytes();
 		ChannelFuture sent = this.channel.writeAndFlush(response);
 		ClientMemory held = this.memory;
 		if (held != null && !sent.isDone()) {
+			long bytes = Math.max(0, unsentBytes());
 			this.budget.charge(held, bytes);
 			sent.addListener((done) -> this.budget.release(held, bytes));
 		}
