Count only the text of a head as its memory

Cause: the whole read that contained the end of a head counted as head, so a body of 60 KB in the same segment counted 120 KB more than it takes.

Change: the size comes from the method, the URI and the fields of the decoded head, capped at 64 KB.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -189,8 +189,10 @@
 		this.receiving = true;
 	}
 
-	long takeHeadBytes() {
-		return (this.gate != null) ? this.gate.takeHeadBytes() : 0;
+	void headDecoded() {
+		if (this.gate != null) {
+			this.gate.headDecoded();
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerGate.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerGate.java
@@ -96,15 +96,12 @@
 	}
 
 	/**
-	 * Returns the size of the head that has just been decoded, and begins the next one.
-	 * @return number of bytes; may include bytes of the body
+	 * Releases the memory of a head that has just been decoded; its request counts it.
 	 */
-	long takeHeadBytes() {
-		long bytes = this.headBytes;
+	void headDecoded() {
 		this.budget.release(this.memory, this.headMemoryBytes);
 		this.headMemoryBytes = 0;
 		this.headBytes = 0;
-		return bytes;
 	}
 
 	private void hold(ChannelHandlerContext ctx, ByteBuf bytes) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestAssembler.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestAssembler.java
@@ -1,5 +1,8 @@
 package org.hemlockgw.gateway.entry;
 
+import java.util.Iterator;
+import java.util.Map;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -37,6 +40,9 @@
 	/** Memory per byte of text; a field is kept as bytes and as a string. */
 	private static final int TEXT_FACTOR = 2;
 
+	/** Maximum size of a head's text; the decoder permits less. */
+	private static final long MAX_HEAD_TEXT_BYTES = 64 * 1024;
+
 	private final Services services;
 
 	private final CallerConnection connection;
@@ -106,7 +112,8 @@
 		long length = chunked ? -1 : HttpUtil.getContentLength(request, 0L);
 		this.headMemoryBytes = REQUEST_OVERHEAD_BYTES
 				+ (long) request.headers().size() * CountedHeaders.FIELD_OVERHEAD_BYTES
-				+ TEXT_FACTOR * this.connection.takeHeadBytes();
+				+ TEXT_FACTOR * headTextBytes(request);
+		this.connection.headDecoded();
 		if (!this.services.memoryBudget().reserve(this.memory, this.headMemoryBytes)) {
 			this.headMemoryBytes = 0;
 			refuse(Refusal.outOfMemory());
@@ -137,6 +144,22 @@
 		}
 	}
 
+	/**
+	 * Returns the size of the text of a head, without that of a body that arrived with
+	 * it.
+	 * @param request the head
+	 * @return number of bytes
+	 */
+	static long headTextBytes(HttpRequest request) {
+		long bytes = request.method().name().length() + request.uri().length();
+		Iterator<Map.Entry<CharSequence, CharSequence>> fields = request.headers().iteratorCharSequence();
+		while (fields.hasNext()) {
+			Map.Entry<CharSequence, CharSequence> field = fields.next();
+			bytes += field.getKey().length() + field.getValue().length();
+		}
+		return Math.min(bytes, MAX_HEAD_TEXT_BYTES);
+	}
+
 	// Returns false if the request was refused.
 	private boolean reserve(ChannelHandlerContext ctx, RequestBody receiving) {
 		if (receiving.needsLargeMemory() && !this.memory.isWaiting()) {
