Release the unused memory of a complete chunked body

Cause: a chunked body over 64 KB held max_body_bytes until its request ended, while other large bodies waited.

Change: after the last chunk the buffer shrinks to the size of the body, and the rest is released, which admits waiting bodies. While it shrinks, the copy takes direct memory in addition for a moment.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestAssembler.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestAssembler.java
@@ -238,6 +238,7 @@
 		if (request == null || callerRequest == null || received == null) {
 			return;
 		}
+		received.complete();
 		long small = this.headMemoryBytes + received.smallBytes();
 		clear();
 		this.connection.receive(new ReceivedRequest(toFullRequest(request, received.buffer()), callerRequest, null,
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestBody.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/RequestBody.java
@@ -112,6 +112,20 @@
 		return true;
 	}
 
+	/**
+	 * Releases the memory that a complete body doesn't use. A body of unknown length has
+	 * memory for the largest permitted one until then.
+	 */
+	void complete() {
+		long unused = this.largeBytes - size();
+		if (unused <= 0) {
+			return;
+		}
+		this.buffer.capacity(size());
+		this.largeBytes -= unused;
+		this.budget.releaseLarge(this.memory, unused);
+	}
+
 	ByteBuf buffer() {
 		return this.buffer;
 	}
