--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CallerConnection.java
@@ -34,6 +34,7 @@
 import org.hemlockgw.core.limit.MemoryBudget;
 import org.hemlockgw.core.route.CallerLimits;
 import org.hemlockgw.core.route.RoutingTable;
+import org.hemlockgw.gateway.net.FailedWrites;
 import org.hemlockgw.gateway.telemetry.LogFields;
 import org.hemlockgw.gateway.telemetry.MemoryExhaustion;
 
@@ -188,8 +189,10 @@
 		this.receiving = true;
 	}
 
-	long takeHeadBytes() {
-		return (this.gate != null) ? this.gate.takeHeadBytes() : 0;
+	void headDecoded() {
+		if (this.gate != null) {
+			this.gate.headDecoded();
+		}
 	}
 
 	/**
@@ -324,13 +327,14 @@
 	 */
 	void sendResponse(DefaultFullHttpResponse response) {
 		applyConnectionClose(response);
-		long bytes = response.content().readableBytes();
 		ChannelFuture sent = this.channel.writeAndFlush(response);
 		ClientMemory held = this.memory;
 		if (held != null && !sent.isDone()) {
+			long bytes = Math.max(0, unsentBytes());
 			this.budget.charge(held, bytes);
 			sent.addListener((done) -> this.budget.release(held, bytes));
 		}
+		sent.addListener(FailedWrites.CLOSE);
 		sent.addListener((done) -> finishExchange());
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/Exchange.java
@@ -14,6 +14,7 @@
 import org.hemlockgw.core.route.Pool;
 import org.hemlockgw.core.route.Route;
 import org.hemlockgw.core.route.RoutingTable;
+import org.hemlockgw.gateway.net.FailedWrites;
 import org.hemlockgw.gateway.peer.PeerMessage;
 import org.hemlockgw.gateway.telemetry.Metrics;
 
@@ -178,6 +179,7 @@
 		relay.discard();
 		this.caller.channel()
 			.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+			.addListener(FailedWrites.CLOSE)
 			.addListener((written) -> this.caller.finishExchange());
 	}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/ResponseRelay.java
@@ -14,6 +14,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.hemlockgw.core.pool.ResponseTiming;
+import org.hemlockgw.gateway.net.FailedWrites;
 
 /**
  * Relays a backend server's response to one attempt to the caller. An event stream is
@@ -138,7 +139,7 @@
 		}
 		this.buffered = null;
 		sendHead();
-		this.caller.channel().writeAndFlush(new DefaultHttpContent(buffer));
+		this.caller.channel().writeAndFlush(new DefaultHttpContent(buffer)).addListener(FailedWrites.CLOSE);
 		return this.caller.channel().isWritable();
 	}
 
@@ -153,7 +154,7 @@
 		HttpResponse response = this.wireFormat.toCallerResponse(this.head);
 		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
 		this.caller.applyConnectionClose(response);
-		this.caller.channel().write(response);
+		this.caller.channel().write(response).addListener(FailedWrites.CLOSE);
 	}
 
 	/**
