Request the state of a previous holder while waiting for it

Cause: the state was requested once, possibly before the configuration or the previous holder was known, and with a holder that was outdated in repeats.

A waiting holder reads the previous holder afresh every 100 ms, with one request at a time, and refreshes its membership when its wait ends. The loop stops when the shard is acquired again in a later generation.

--- a/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
@@ -45,8 +45,11 @@
 	 */
 	private static final long HANDOVER_TIMEOUT_MS = 300;
 
-	/** Delay in milliseconds before the previous holder is asked again. */
-	private static final long HANDOVER_RETRY_MS = 50;
+	/**
+	 * Interval in milliseconds at which a waiting holder asks the previous one, which may
+	 * not be known at first.
+	 */
+	private static final long HANDOVER_RETRY_MS = 100;
 
 	private final EventLoop loop;
 
@@ -64,6 +67,9 @@
 
 	private final Map<Integer, ShardPermits> shards = new HashMap<>();
 
+	// Generations of the handovers that wait for an answer, by shard.
+	private final Map<Integer, Long> handovers = new HashMap<>();
+
 	private final Map<Integer, HolderState> loggedStates = new HashMap<>();
 
 	/**
@@ -99,7 +105,7 @@
 			ShardPermits permits = this.shards.computeIfAbsent(number,
 					(key) -> new ShardPermits(this.clock, this::findCap, this.bounds));
 			if (permits.confirm(assignment.generation(), sent)) {
-				askPrevious(number, assignment.generation(), this.membership.previousHolder(number));
+				continueWaiting(number, permits, assignment.generation());
 			}
 		}
 		if (hasAccounts()) {
@@ -137,15 +143,36 @@
 		}
 	}
 
-	private void askPrevious(int number, long generation, @Nullable PreviousHolder previous) {
-		ShardPermits permits = this.shards.get(number);
-		if (previous == null || permits == null || !hasAccounts() || permits.state() != HolderState.WAITING) {
+	// Configuration and previous holder may become known only while the holder waits.
+	private void continueWaiting(int number, ShardPermits permits, long generation) {
+		if (permits.state() != HolderState.WAITING || permits.acquiredGeneration() != generation) {
+			return;
+		}
+		long waitNanos = permits.remainingWaitNanos();
+		if (hasAccounts()) {
+			askPrevious(number, permits, generation);
+			if (waitNanos <= 0) {
+				// Only a join that is sent from now on starts this holder.
+				this.membership.refresh();
+			}
+		}
+		long retryNanos = TimeUnit.MILLISECONDS.toNanos(HANDOVER_RETRY_MS);
+		long delayNanos = (waitNanos > 0) ? Math.min(waitNanos, retryNanos) : retryNanos;
+		this.loop.schedule(() -> continueWaiting(number, permits, generation), delayNanos, TimeUnit.NANOSECONDS);
+	}
+
+	private void askPrevious(int number, ShardPermits permits, long generation) {
+		PreviousHolder previous = this.membership.previousHolder(number);
+		Long asked = this.handovers.get(number);
+		if (previous == null || (asked != null && asked == generation)) {
 			return;
 		}
+		this.handovers.put(number, generation);
 		this.peerLinks.request(previous.address(), new PeerMessage.AccountsHandover(number, generation),
 				HANDOVER_TIMEOUT_MS, new ReplyListener() {
 					@Override
 					public void onReply(PeerMessage message) {
+						PermitHolder.this.handovers.remove(number, generation);
 						if (message instanceof PeerMessage.AccountsHandedOver handed && handed.state() != null) {
 							permits.previousAnswered(generation, handed.state());
 							logChange(number, permits);
@@ -154,14 +181,14 @@
 
 					@Override
 					public void onRefused(String cause) {
+						PermitHolder.this.handovers.remove(number, generation);
 						permits.previousEnded(generation, previous.generation(), previous.sinceNanos());
 						logChange(number, permits);
 					}
 
 					@Override
 					public void onFailure(String cause) {
-						PermitHolder.this.loop.schedule(() -> askPrevious(number, generation, previous),
-								HANDOVER_RETRY_MS, TimeUnit.MILLISECONDS);
+						PermitHolder.this.handovers.remove(number, generation);
 					}
 				});
 	}
