Repeat lost requests for permits and probe a holder once per shard

Cause: the reply timeout was as long as the wait, so that one lost message gave a 503. Each waiting request asked again every 20 ms and refreshed the membership. The expiry timer kept the memory of decided requests. Neighbouring program identifiers had the same hash.

A reply is awaited for 60 ms and the request repeated once; a request waits for half of its objective, 400 to 1,200 ms. One request per shard asks a holder that can't decide, after 50, 100 and 200 ms. The new status NOT_HOLDER causes a refresh, NOT_READY does not. The timer is cancelled.

The repeat and the probe have no test of their own yet.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/PermitGate.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/PermitGate.java
@@ -15,12 +15,15 @@
 final class PermitGate {
 
 	/** Fraction of the route's objective for which a request waits for its permit. */
-	private static final long WAIT_FRACTION = 4;
+	private static final long WAIT_FRACTION = 2;
 
 	/**
-	 * Minimum wait for a permit in milliseconds, which includes one lost message.
+	 * Minimum wait for a permit in milliseconds, in which a lost message is repeated.
 	 */
-	private static final long MIN_WAIT_MS = 150;
+	private static final long MIN_WAIT_MS = 400;
+
+	/** Maximum wait in milliseconds; a holder is replaced within about a second. */
+	private static final long MAX_WAIT_MS = 1200;
 
 	/**
 	 * Retry-After in milliseconds while no daemon decides; a holder is replaced within
@@ -68,8 +71,9 @@
 		String program = headers.program();
 		boolean mayBegin = this.request.isTurn() && headers.previousTurn() == null;
 		PermitRequest ask = new PermitRequest(this.request.scope().accountName(),
-				(program != null) ? program.hashCode() | 1 : 0, mayBegin);
-		long waitMs = Math.max(MIN_WAIT_MS, this.request.route().objective().toMillis() / WAIT_FRACTION);
+				(program != null) ? programHash(program) : 0, mayBegin);
+		long shareMs = this.request.route().objective().toMillis() / WAIT_FRACTION;
+		long waitMs = Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, shareMs));
 		long beginMs = this.deadline.elapsedMs();
 		this.permit = this.services.permits().ask(ask, Math.min(waitMs, this.deadline.remainingMs()), (decision) -> {
 			this.services.metrics().record("permit_wait_ms", this.deadline.elapsedMs() - beginMs);
@@ -77,6 +81,12 @@
 		});
 	}
 
+	// 0 stands for a request without a program.
+	private static int programHash(String program) {
+		int hash = program.hashCode();
+		return (hash != 0) ? hash : 1;
+	}
+
 	private void handle(PermitDecision decision) {
 		if (decision.status() == PermitDecision.Status.GRANTED) {
 			this.granted = true;
--- a/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitClient.java
@@ -1,7 +1,11 @@
 package org.hemlockgw.gateway.quota;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -22,16 +26,22 @@
 
 	/**
 	 * Timeout in milliseconds for one reply; a round trip takes about 11 ms between data
-	 * centres.
+	 * centres. A lost message is repeated well within the wait of a request.
 	 */
-	private static final long REPLY_TIMEOUT_MS = 150;
+	private static final long REPLY_TIMEOUT_MS = 60;
 
-	/** Delay in milliseconds before a holder is asked again. */
-	private static final long RETRY_DELAY_MS = 20;
+	/** Delay in milliseconds before a holder that can't decide is asked again. */
+	private static final long FIRST_DELAY_MS = 50;
+
+	/** Maximum of that delay in milliseconds, which doubles each time. */
+	private static final long MAX_DELAY_MS = 200;
 
 	/** Maximum number of accounts that have a metric of their own. */
 	private static final int MAX_LABELS = 100;
 
+	// Shards whose holder can't decide; one request asks for all that wait for it.
+	private final Map<Integer, HolderProbe> probes = new HashMap<>();
+
 	private final Set<String> labels = new HashSet<>();
 
 	private final EventLoop loop;
@@ -59,8 +69,14 @@
 	 */
 	public Permit ask(PermitRequest request, long waitMs, Consumer<PermitDecision> listener) {
 		Permit permit = new Permit(request, listener);
-		this.loop.schedule(permit::expire, waitMs, TimeUnit.MILLISECONDS);
-		permit.send();
+		permit.timer = this.loop.schedule(permit::expire, waitMs, TimeUnit.MILLISECONDS);
+		HolderProbe probe = this.probes.get(permit.shard);
+		if (probe != null) {
+			probe.add(permit);
+		}
+		else {
+			permit.send();
+		}
 		return permit;
 	}
 
@@ -74,6 +90,61 @@
 		return (known || (this.labels.size() < MAX_LABELS && this.labels.add(account))) ? account : "other";
 	}
 
+	private void await(Permit permit) {
+		this.probes.computeIfAbsent(permit.shard, HolderProbe::new).add(permit);
+	}
+
+	/**
+	 * Requests that wait for a holder of a shard. The first of them asks again after a
+	 * growing delay; the others follow when it is decided.
+	 */
+	private final class HolderProbe {
+
+		private final int shard;
+
+		private final Set<Permit> waiting = new LinkedHashSet<>();
+
+		private long delayMs = FIRST_DELAY_MS;
+
+		HolderProbe(int shard) {
+			this.shard = shard;
+			schedule();
+		}
+
+		void add(Permit permit) {
+			this.waiting.add(permit);
+		}
+
+		private void schedule() {
+			PermitClient.this.loop.schedule(this::run, this.delayMs, TimeUnit.MILLISECONDS);
+			this.delayMs = Math.min(MAX_DELAY_MS, 2 * this.delayMs);
+		}
+
+		private void run() {
+			this.waiting.removeIf(Permit::isDone);
+			if (this.waiting.isEmpty()) {
+				PermitClient.this.probes.remove(this.shard, this);
+				return;
+			}
+			Permit first = this.waiting.iterator().next();
+			this.waiting.remove(first);
+			first.probe = this;
+			first.send();
+		}
+
+		void answered(Permit first, boolean ready) {
+			first.probe = null;
+			if (!ready) {
+				this.waiting.add(first);
+				schedule();
+				return;
+			}
+			PermitClient.this.probes.remove(this.shard, this);
+			this.waiting.forEach(Permit::send);
+		}
+
+	}
+
 	/**
 	 * Permit of one request.
 	 */
@@ -85,21 +156,33 @@
 
 		private @Nullable PermitDecision decision;
 
+		private final int shard;
+
 		private @Nullable String address;
 
+		private @Nullable Future<?> timer;
+
+		private @Nullable HolderProbe probe;
+
+		private boolean repeated;
+
 		private boolean closed;
 
 		private Permit(PermitRequest request, Consumer<PermitDecision> listener) {
 			this.request = request;
 			this.listener = listener;
+			this.shard = PermitClient.this.membership.shardOf(request.account());
+		}
+
+		private boolean isDone() {
+			return this.closed || this.decision != null;
 		}
 
 		private void send() {
-			if (this.closed || this.decision != null) {
+			if (isDone()) {
 				return;
 			}
-			Membership members = PermitClient.this.membership;
-			this.address = members.holderAddress(members.shardOf(this.request.account()));
+			this.address = PermitClient.this.membership.holderAddress(this.shard);
 			if (this.address == null) {
 				// The listener must not be called before the caller has the permit.
 				PermitClient.this.loop.execute(() -> decided(PermitClient.this.holder.decide(this.request)));
@@ -116,38 +199,68 @@
 			}
 		}
 
+		// The request or its answer may have been lost.
 		@Override
 		public void onFailure(String cause) {
+			if (!isDone() && !this.repeated) {
+				this.repeated = true;
+				send();
+				return;
+			}
+			PermitClient.this.membership.refresh();
+			retry();
+		}
+
+		@Override
+		public void onRefused(String cause) {
+			PermitClient.this.membership.refresh();
 			retry();
 		}
 
 		private void decided(PermitDecision newDecision) {
+			if (newDecision.status() == PermitDecision.Status.NOT_HOLDER) {
+				PermitClient.this.membership.refresh();
+				retry();
+				return;
+			}
 			if (newDecision.status() == PermitDecision.Status.NOT_READY) {
 				retry();
+				return;
 			}
-			else if (this.closed || this.decision != null) {
-				giveBack(newDecision);
+			if (this.probe != null) {
+				this.probe.answered(this, true);
 			}
-			else {
-				this.decision = newDecision;
-				this.listener.accept(newDecision);
+			if (isDone()) {
+				giveBack(newDecision);
+				return;
 			}
+			this.decision = newDecision;
+			cancelTimer();
+			this.listener.accept(newDecision);
 		}
 
 		private void retry() {
-			if (!this.closed && this.decision == null) {
-				PermitClient.this.membership.refresh();
-				PermitClient.this.loop.schedule(this::send, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+			if (this.probe != null) {
+				this.probe.answered(this, false);
+			}
+			else if (!isDone()) {
+				PermitClient.this.await(this);
 			}
 		}
 
 		private void expire() {
-			if (!this.closed && this.decision == null) {
+			if (!isDone()) {
 				this.decision = PermitDecision.NOT_READY;
 				this.listener.accept(PermitDecision.NOT_READY);
 			}
 		}
 
+		private void cancelTimer() {
+			if (this.timer != null) {
+				this.timer.cancel(false);
+			}
+		}
+
 		/**
 		 * Ends the use of the permit.
 		 * @param mayHaveRun whether the request may have run; otherwise the permit is
@@ -156,6 +269,7 @@
 		public void close(boolean mayHaveRun) {
 			if (!this.closed) {
 				this.closed = true;
+				cancelTimer();
 				if (this.decision != null && !mayHaveRun) {
 					giveBack(this.decision);
 				}
--- a/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
@@ -199,8 +199,12 @@
 	 * @return the decision
 	 */
 	PermitDecision decide(PermitRequest request) {
-		ShardPermits permits = this.shards.get(this.membership.shardOf(request.account()));
-		if (permits == null || this.routes.get() == null) {
+		int number = this.membership.shardOf(request.account());
+		ShardPermits permits = this.shards.get(number);
+		if (permits == null || !isAssigned(number)) {
+			return PermitDecision.NOT_HOLDER;
+		}
+		if (this.routes.get() == null) {
 			return PermitDecision.NOT_READY;
 		}
 		PermitDecision decision = permits.decide(request);
@@ -208,6 +212,16 @@
 		return decision;
 	}
 
+	/**
+	 * Returns whether this daemon holds a shard or waits to start.
+	 * @param shard number of the shard
+	 * @return whether the shard is assigned to this daemon
+	 */
+	private boolean isAssigned(int shard) {
+		ShardPermits permits = this.shards.get(shard);
+		return permits != null && permits.state() != HolderState.NOT_HOLDER;
+	}
+
 	/**
 	 * Handles another daemon's request for a permit.
 	 * @param ask the request
