Bound the places of denied requests and give a time that fits

Cause: a denial by the log or of a new program had the bucket's wait, often 1 ms; a flood booked up to 30 s of places, also for running programs.

The wait follows the oldest grant of the log or the time at which a program fits, at least 100 ms. Places reach 5 s beyond the first one, are reset once the account is not under pressure, and are separate for new programs.

Measured: ShardPermitsTests with two new tests is green.

--- a/core/src/main/java/org/hemlockgw/core/quota/AccountPermits.java
+++ b/core/src/main/java/org/hemlockgw/core/quota/AccountPermits.java
@@ -24,6 +24,15 @@
 	/** Maximum Retry-After in milliseconds; callers give up long before. */
 	private static final long MAX_RETRY_AFTER_MS = 30_000;
 
+	/**
+	 * Maximum time in nanoseconds for which places are booked after the first one;
+	 * callers of a flood that don't return would book them without end.
+	 */
+	private static final long MAX_BOOKED_NANOS = 5_000_000_000L;
+
+	/** Minimum wait in nanoseconds for the limits that don't depend on the bucket. */
+	private static final long MIN_WAIT_NANOS = 100_000_000;
+
 	private final UsageCapBounds bounds;
 
 	private UsageCap cap;
@@ -51,6 +60,8 @@
 
 	private long nextPlaceNanos;
 
+	private long nextProgramPlaceNanos;
+
 	private long deniedNanos;
 
 	private boolean denied;
@@ -71,7 +82,7 @@
 		this.programs = new ProgramAdmissions(this.shares.windowSeconds(), emptyNanos);
 		this.emptyNanos = emptyNanos;
 		this.refilledNanos = emptyNanos;
-		this.nextPlaceNanos = emptyNanos;
+		resetPlaces();
 	}
 
 	private double creditRate() {
@@ -124,7 +135,7 @@
 		this.bucket.change(this.shares.rate(), this.shares.capacity());
 		this.credits.change(creditRate(), this.shares.returns() / 2);
 		this.unconfirmed.change(unconfirmedRate(), this.shares.unconfirmed() / 2);
-		this.nextPlaceNanos = this.refilledNanos;
+		resetPlaces();
 	}
 
 	/**
@@ -135,18 +146,28 @@
 	 */
 	PermitDecision decide(PermitRequest request, long permit) {
 		this.unconfirmedGrants = 0;
-		if (!this.bucket.hasToken() || this.log.size() + 1 > this.bounds.maxRequests(this.cap)) {
+		boolean logFull = this.log.size() + 1 > this.bounds.maxRequests(this.cap);
+		if (logFull || !this.bucket.hasToken()) {
 			this.denied = true;
 			this.deniedNanos = this.refilledNanos;
-			return deny(PermitDecision.Status.DENIED);
+			return deny(logFull);
+		}
+		if (!isUnderPressure()) {
+			resetPlaces();
+			return grant(request, permit);
 		}
-		if (this.programs.isNew(request) && isUnderPressure() && this.programs.expectedRequests(
-				this.refilledNanos) >= this.cap.ratePerSecond() * this.shares.windowSeconds() + this.cap.burst()) {
-			return deny(PermitDecision.Status.PROGRAM_DENIED);
+		double limit = this.cap.ratePerSecond() * this.shares.windowSeconds() + this.cap.burst();
+		if (this.programs.isNew(request) && this.programs.expectedRequests(this.refilledNanos) >= limit) {
+			return denyProgram(this.programs.nanosToFit(this.refilledNanos, limit));
 		}
 		return grant(request, permit);
 	}
 
+	private void resetPlaces() {
+		this.nextPlaceNanos = this.refilledNanos;
+		this.nextProgramPlaceNanos = this.refilledNanos;
+	}
+
 	// An account below its cap is never under pressure for long, so that an inexact
 	// estimate of the requests of a program does not deny it anything.
 	private boolean isUnderPressure() {
@@ -181,16 +202,37 @@
 		return new PermitDecision(PermitDecision.Status.GRANTED, permit, 0);
 	}
 
+	private PermitDecision deny(boolean logFull) {
+		long wait = (long) (Math.min(MAX_RETRY_AFTER_MS / 1e3, this.bucket.secondsToToken()) * 1e9);
+		if (logFull && !this.log.isEmpty()) {
+			long oldest = this.log.values().iterator().next();
+			long expiry = oldest + (long) (this.shares.windowSeconds() * 1e9) - this.refilledNanos;
+			wait = Math.max(wait, Math.max(MIN_WAIT_NANOS, expiry));
+		}
+		long place = place(this.nextPlaceNanos, wait);
+		this.nextPlaceNanos = place + intervalNanos();
+		return new PermitDecision(PermitDecision.Status.DENIED, 0, millisUntil(place));
+	}
+
+	private PermitDecision denyProgram(long nanosToFit) {
+		long place = place(this.nextProgramPlaceNanos, Math.max(MIN_WAIT_NANOS, nanosToFit));
+		this.nextProgramPlaceNanos = place + intervalNanos();
+		return new PermitDecision(PermitDecision.Status.PROGRAM_DENIED, 0, millisUntil(place));
+	}
+
 	// Denied requests get successive times at the account's rate, so that they are
 	// granted when they return.
-	private PermitDecision deny(PermitDecision.Status status) {
-		long interval = (long) (1e9 / Math.max(1e-3, this.cap.ratePerSecond()));
-		double wait = Math.min(MAX_RETRY_AFTER_MS / 1e3, this.bucket.secondsToToken());
-		long place = Math.max(this.nextPlaceNanos, this.refilledNanos + (long) (wait * 1e9));
-		long maxPlace = this.refilledNanos + MAX_RETRY_AFTER_MS * 1_000_000;
-		this.nextPlaceNanos = Math.min(maxPlace, place + interval);
-		long afterMs = (Math.min(place, maxPlace) - this.refilledNanos) / 1_000_000 + 1;
-		return new PermitDecision(status, 0, afterMs);
+	private long place(long next, long waitNanos) {
+		long earliest = this.refilledNanos + waitNanos;
+		return Math.max(earliest, Math.min(next, earliest + MAX_BOOKED_NANOS));
+	}
+
+	private long intervalNanos() {
+		return (long) (1e9 / Math.max(1e-3, this.cap.ratePerSecond()));
+	}
+
+	private long millisUntil(long place) {
+		return Math.min(MAX_RETRY_AFTER_MS, (place - this.refilledNanos) / 1_000_000 + 1);
 	}
 
 	/**
--- a/core/src/main/java/org/hemlockgw/core/quota/ProgramAdmissions.java
+++ b/core/src/main/java/org/hemlockgw/core/quota/ProgramAdmissions.java
@@ -67,6 +67,25 @@
 		return this.admissions.size() * requestsPerProgram();
 	}
 
+	/**
+	 * Returns the time until a new program fits, if no other is admitted.
+	 * @param nowNanos current time
+	 * @param limit requests per window that running programs may need
+	 * @return time in nanoseconds
+	 */
+	long nanosToFit(long nowNanos, double limit) {
+		int remaining = this.admissions.size();
+		long wait = 0;
+		for (long admission : this.admissions) {
+			if (remaining * requestsPerProgram() < limit) {
+				break;
+			}
+			remaining--;
+			wait = admission + this.windowNanos - nowNanos;
+		}
+		return wait;
+	}
+
 	double requestsPerProgram() {
 		return (INITIAL_WEIGHT * INITIAL_REQUESTS + this.requests) / (INITIAL_WEIGHT + this.programs);
 	}
--- a/core/src/test/java/org/hemlockgw/core/quota/ShardPermitsTests.java
+++ b/core/src/test/java/org/hemlockgw/core/quota/ShardPermitsTests.java
@@ -221,4 +221,44 @@
 			.isGreaterThan(refused.retryAfterMs());
 	}
 
+	// Guards against a Retry-After at which a new program is denied again, and against
+	// one that tells callers to return at once.
+	@Example
+	void deniedProgramIsGrantedAtItsRetryAfter() {
+		AccountPermits account = new AccountPermits(new UsageCap(10, 10), CapSimulation.BOUNDS, 0);
+		long nanos = 20_000_000_000L;
+		account.refill(nanos, 20);
+		PermitDecision refused = PermitDecision.NOT_READY;
+		for (int i = 1; refused.status() != PermitDecision.Status.PROGRAM_DENIED && i < 100; i++) {
+			nanos += 50_000_000;
+			account.refill(nanos, 20);
+			refused = account.decide(new PermitRequest("acme", i, true), i);
+		}
+		assertThat(refused.status()).isEqualTo(PermitDecision.Status.PROGRAM_DENIED);
+		assertThat(refused.retryAfterMs()).isAtLeast(100);
+		account.refill(nanos + refused.retryAfterMs() * 1_000_000, 20);
+		assertThat(account.decide(new PermitRequest("acme", 500, true), 500).status())
+			.isEqualTo(PermitDecision.Status.GRANTED);
+	}
+
+	// Guards against a flood that books places without end, so that later callers are
+	// told to return long after the bucket has recovered.
+	@Example
+	void placesOfFloodAreBounded() {
+		AccountPermits account = new AccountPermits(new UsageCap(10, 10), CapSimulation.BOUNDS, 0);
+		PermitDecision last = PermitDecision.NOT_READY;
+		account.refill(20_000_000_000L, 20);
+		for (int i = 1; i < 1000; i++) {
+			last = account.decide(new PermitRequest("acme", 0, false), i);
+		}
+		assertThat(last.status()).isEqualTo(PermitDecision.Status.DENIED);
+		assertThat(last.retryAfterMs()).isAtMost(5200);
+		account.refill(40_000_000_000L, 20);
+		for (int i = 1001; i < 1100 && (last.permit() != 0 || i == 1001); i++) {
+			last = account.decide(new PermitRequest("acme", 0, false), i);
+		}
+		assertThat(last.status()).isEqualTo(PermitDecision.Status.DENIED);
+		assertThat(last.retryAfterMs()).isAtMost(200);
+	}
+
 }
