Return permits whose grant arrives after the reply timeout

Cause: a reply after the timeout was dropped, so that a late grant was lost to its account.

Up to 256 listeners per connection receive late replies. A late grant serves a request that still waits and is returned otherwise.

--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/PeerLinks.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Future;
@@ -47,6 +48,12 @@
 	 */
 	private static final long MAX_SILENCE_MS = 600;
 
+	/**
+	 * Maximum number of listeners for late replies on one connection, so that lost
+	 * replies don't use memory without end.
+	 */
+	private static final int MAX_LATE_REPLIES = 256;
+
 	private final EventLoop loop;
 
 	private final String self;
@@ -104,6 +111,8 @@
 
 		private final Map<Long, PendingReply> pendingReplies = new HashMap<>();
 
+		private final Map<Long, ReplyListener> lateReplies = new LinkedHashMap<>();
+
 		private final @Nullable ChannelFuture connectFuture;
 
 		private boolean refused;
@@ -172,6 +181,10 @@
 			PeerCodec.Frame decoded = PeerCodec.decode(PeerFrames.readBytes(frame));
 			PendingReply pending = this.pendingReplies.get(decoded.correlation());
 			if (pending == null) {
+				ReplyListener late = this.lateReplies.remove(decoded.correlation());
+				if (late != null) {
+					late.onLateReply(decoded.message());
+				}
 				return;
 			}
 			pending.cancelTimer();
@@ -195,6 +208,13 @@
 			close(String.valueOf(cause));
 		}
 
+		void awaitLateReply(long correlation, ReplyListener listener) {
+			this.lateReplies.put(correlation, listener);
+			if (this.lateReplies.size() > MAX_LATE_REPLIES) {
+				this.lateReplies.remove(this.lateReplies.keySet().iterator().next());
+			}
+		}
+
 		void close(String cause) {
 			if (PeerLinks.this.links.remove(this.address, this)) {
 				logger.atInfo()
@@ -259,6 +279,9 @@
 			if (!this.answered && silenceNanos > TimeUnit.MILLISECONDS.toNanos(MAX_SILENCE_MS)) {
 				this.link.close("silent");
 			}
+			else if (!this.answered && this.listener.acceptsLateReply()) {
+				this.link.awaitLateReply(this.correlation, this.listener);
+			}
 			this.listener.onFailure("peer " + this.link.address + " did not reply within " + timeoutMs + " ms");
 		}
 
--- a/gateway/src/main/java/org/hemlockgw/gateway/peer/ReplyListener.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/peer/ReplyListener.java
@@ -22,4 +22,19 @@
 		onFailure(cause);
 	}
 
+	/**
+	 * Returns whether a first reply after the timeout is of use.
+	 * @return whether {@link #onLateReply} is to be called
+	 */
+	default boolean acceptsLateReply() {
+		return false;
+	}
+
+	/**
+	 * Called after {@link #onFailure} if the first reply arrives later than the timeout.
+	 * @param message the reply
+	 */
+	default void onLateReply(PeerMessage message) {
+	}
+
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitClient.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitClient.java
@@ -199,6 +199,18 @@
 			}
 		}
 
+		@Override
+		public boolean acceptsLateReply() {
+			return true;
+		}
+
+		@Override
+		public void onLateReply(PeerMessage message) {
+			if (message instanceof PeerMessage.PermitAnswered answered && answered.decision().permit() != 0) {
+				decided(answered.decision());
+			}
+		}
+
 		// The request or its answer may have been lost.
 		@Override
 		public void onFailure(String cause) {
--- a/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
+++ b/gateway/src/test/java/org/hemlockgw/gateway/peer/PeerLinksTests.java
@@ -12,6 +12,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -80,4 +81,47 @@
 		}
 	}
 
+	// Guards against a permit that is lost to its account because its grant arrives after
+	// the timeout.
+	@Test
+	void lateReplyReachesListener() throws Exception {
+		Channel listener = PeerListener.start(new InetSocketAddress("127.0.0.1", 0), this.loop, new PeerService() {
+			@Override
+			public void handle(String sender, PeerMessage message, Consumer<PeerMessage> reply) {
+				PeerLinksTests.this.loop.schedule(() -> reply.accept(new PeerMessage.ReservationStored(true)), 300,
+						TimeUnit.MILLISECONDS);
+			}
+
+			@Override
+			public void connectionLost(String sender) {
+			}
+		});
+		int port = ((InetSocketAddress) listener.localAddress()).getPort();
+		PeerLinks links = new PeerLinks(this.loop, "self", System::nanoTime);
+		this.loop.execute(() -> links.request("127.0.0.1:" + port,
+				new PeerMessage.OpenTurn("t", "p", null, 100, 10, 1000, 1000), 100, new ReplyListener() {
+					@Override
+					public void onReply(PeerMessage message) {
+						PeerLinksTests.this.received.add("ok");
+					}
+
+					@Override
+					public void onFailure(String cause) {
+						PeerLinksTests.this.received.add("failed");
+					}
+
+					@Override
+					public boolean acceptsLateReply() {
+						return true;
+					}
+
+					@Override
+					public void onLateReply(PeerMessage message) {
+						PeerLinksTests.this.received.add("late");
+					}
+				}));
+		assertThat(this.received.poll(TIMEOUT_S, TimeUnit.SECONDS)).isEqualTo("failed");
+		assertThat(this.received.poll(TIMEOUT_S, TimeUnit.SECONDS)).isEqualTo("late");
+	}
+
 }
