--- a/core/src/main/java/org/hemlockgw/core/quota/CapShares.java
+++ b/core/src/main/java/org/hemlockgw/core/quota/CapShares.java
@@ -17,6 +17,13 @@
  */
 record CapShares(double windowSeconds, double rate, double capacity, double returns, double start, double unconfirmed) {
 
+	/**
+	 * Fraction of the tolerated excess that the bucket uses in normal operation. The
+	 * requests of a program come in groups, so that a bucket of the burst alone refuses
+	 * accounts of a few requests per second below their cap.
+	 */
+	private static final double NORMAL_FRACTION = 0.8;
+
 	/** Fraction of the reserve for returned permits, the most frequent use. */
 	private static final double RETURNS_FRACTION = 0.4;
 
@@ -26,9 +33,9 @@
 
 	static CapShares of(UsageCap cap, UsageCapBounds bounds) {
 		double window = bounds.window().toNanos() / 1e9;
-		double excess = bounds.excess() / 2;
+		double excess = bounds.excess() * NORMAL_FRACTION;
 		double rate = cap.ratePerSecond() * (1 + excess);
-		double capacity = cap.burst() * (1 + excess) + bounds.slack() / 2;
+		double capacity = cap.burst() * (1 + excess) + bounds.slack() * NORMAL_FRACTION;
 		double reserve = bounds.maxRequests(cap) - rate * window - capacity;
 		if (capacity < 1) {
 			// A bucket that holds less than one permit would never grant one.
