Name the limit on an account's requests a rate limit

Cause: "usage cap" is the wording of the users' pages; the usual term in code is rate limit. Change: RateLimit, RateLimitBounds, RateLimitShares and the texts that mention them; docs/design/usage-caps.md keeps its name, as it describes the users' requirement.

--- a/core/src/main/java/org/hemlockgw/core/account/ClientAccount.java
+++ b/core/src/main/java/org/hemlockgw/core/account/ClientAccount.java
@@ -10,5 +10,5 @@
  * their route; null to use the route's
  * @param cap limit on its requests; null if they are not limited
  */
-public record ClientAccount(String name, @Nullable Integer priority, @Nullable UsageCap cap) {
+public record ClientAccount(String name, @Nullable Integer priority, @Nullable RateLimit cap) {
 }
--- a/core/src/main/java/org/hemlockgw/core/account/UsageCap.java
+++ b/core/src/main/java/org/hemlockgw/core/account/RateLimit.java
@@ -6,5 +6,5 @@
  * @param ratePerSecond requests per second, positive
  * @param burst requests in addition to the rate
  */
-public record UsageCap(double ratePerSecond, double burst) {
+public record RateLimit(double ratePerSecond, double burst) {
 }
--- a/core/src/main/java/org/hemlockgw/core/quota/AccountPermits.java
+++ b/core/src/main/java/org/hemlockgw/core/quota/AccountPermits.java
@@ -4,8 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-import org.hemlockgw.core.account.UsageCap;
-import org.hemlockgw.core.account.UsageCapBounds;
+import org.hemlockgw.core.account.RateLimit;
+import org.hemlockgw.core.account.RateLimitBounds;
 
 /**
  * Permits of one client account at its holder.
@@ -33,11 +33,11 @@
 	/** Minimum wait in nanoseconds for the limits that don't depend on the bucket. */
 	private static final long MIN_WAIT_NANOS = 100_000_000;
 
-	private final UsageCapBounds bounds;
+	private final RateLimitBounds bounds;
 
-	private UsageCap cap;
+	private RateLimit cap;
 
-	private CapShares shares;
+	private RateLimitShares shares;
 
 	private final RefillingTokens bucket;
 
@@ -72,10 +72,10 @@
 	 * @param bounds accuracy of the cap
 	 * @param emptyNanos time at which the bucket was empty
 	 */
-	AccountPermits(UsageCap cap, UsageCapBounds bounds, long emptyNanos) {
+	AccountPermits(RateLimit cap, RateLimitBounds bounds, long emptyNanos) {
 		this.bounds = bounds;
 		this.cap = cap;
-		this.shares = CapShares.of(cap, bounds);
+		this.shares = RateLimitShares.of(cap, bounds);
 		this.bucket = new RefillingTokens(this.shares.rate(), this.shares.capacity(), 0);
 		this.credits = new RefillingTokens(creditRate(), this.shares.returns() / 2, 0);
 		this.unconfirmed = new RefillingTokens(unconfirmedRate(), this.shares.unconfirmed() / 2, 0);
@@ -126,12 +126,12 @@
 		}
 	}
 
-	void changeCap(UsageCap newCap) {
+	void changeCap(RateLimit newCap) {
 		if (newCap.equals(this.cap)) {
 			return;
 		}
 		this.cap = newCap;
-		this.shares = CapShares.of(newCap, this.bounds);
+		this.shares = RateLimitShares.of(newCap, this.bounds);
 		this.bucket.change(this.shares.rate(), this.shares.capacity());
 		this.credits.change(creditRate(), this.shares.returns() / 2);
 		this.unconfirmed.change(unconfirmedRate(), this.shares.unconfirmed() / 2);
--- a/core/src/main/java/org/hemlockgw/core/quota/CapShares.java
+++ b/core/src/main/java/org/hemlockgw/core/quota/RateLimitShares.java
@@ -1,12 +1,12 @@
 package org.hemlockgw.core.quota;
 
-import org.hemlockgw.core.account.UsageCap;
-import org.hemlockgw.core.account.UsageCapBounds;
+import org.hemlockgw.core.account.RateLimit;
+import org.hemlockgw.core.account.RateLimitBounds;
 
 /**
- * Division of the requests that a usage cap tolerates in one window. The sum of
+ * Division of the requests that a rate limit tolerates in one window. The sum of
  * {@code capacity + rate * window} and the three shares of the reserve never exceeds
- * {@link UsageCapBounds#maxRequests}.
+ * {@link RateLimitBounds#maxRequests}.
  *
  * @param windowSeconds length of the window in seconds
  * @param rate refill of the bucket in permits per second
@@ -15,7 +15,8 @@
  * @param start additional permits per window after a start without state
  * @param unconfirmed permits per window of holders without confirmed membership
  */
-record CapShares(double windowSeconds, double rate, double capacity, double returns, double start, double unconfirmed) {
+record RateLimitShares(double windowSeconds, double rate, double capacity, double returns, double start,
+		double unconfirmed) {
 
 	/**
 	 * Fraction of the tolerated excess that the bucket uses in normal operation. The
@@ -31,7 +32,7 @@
 
 	private static final double UNCONFIRMED_FRACTION = 0.4;
 
-	static CapShares of(UsageCap cap, UsageCapBounds bounds) {
+	static RateLimitShares of(RateLimit cap, RateLimitBounds bounds) {
 		double window = bounds.window().toNanos() / 1e9;
 		double excess = bounds.excess() * NORMAL_FRACTION;
 		double rate = cap.ratePerSecond() * (1 + excess);
@@ -42,7 +43,7 @@
 			rate = Math.max(0, rate - (1 - capacity) / window);
 			capacity = 1;
 		}
-		return new CapShares(window, rate, capacity, reserve * RETURNS_FRACTION, reserve * START_FRACTION,
+		return new RateLimitShares(window, rate, capacity, reserve * RETURNS_FRACTION, reserve * START_FRACTION,
 				reserve * UNCONFIRMED_FRACTION);
 	}
 
--- a/core/src/main/java/org/hemlockgw/core/quota/ShardPermits.java
+++ b/core/src/main/java/org/hemlockgw/core/quota/ShardPermits.java
@@ -10,8 +10,8 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.hemlockgw.core.account.UsageCap;
-import org.hemlockgw.core.account.UsageCapBounds;
+import org.hemlockgw.core.account.RateLimit;
+import org.hemlockgw.core.account.RateLimitBounds;
 
 /**
  * Permits of the client accounts of one shard at one daemon. At most one daemon grants
@@ -31,9 +31,9 @@
 
 	private final Supplier<ClockReading> clock;
 
-	private final Function<String, @Nullable UsageCap> caps;
+	private final Function<String, @Nullable RateLimit> caps;
 
-	private final UsageCapBounds bounds;
+	private final RateLimitBounds bounds;
 
 	private final Map<String, AccountPermits> accounts = new HashMap<>();
 
@@ -64,8 +64,8 @@
 	 * @param caps returns the cap of an account by name, or null if it has none
 	 * @param bounds accuracy of the caps
 	 */
-	public ShardPermits(Supplier<ClockReading> clock, Function<String, @Nullable UsageCap> caps,
-			UsageCapBounds bounds) {
+	public ShardPermits(Supplier<ClockReading> clock, Function<String, @Nullable RateLimit> caps,
+			RateLimitBounds bounds) {
 		this.clock = clock;
 		this.caps = caps;
 		this.bounds = bounds;
@@ -181,7 +181,7 @@
 		long now = this.clock.get().nanos();
 		start(now - TimeUnit.MILLISECONDS.toNanos(state.emptyAgeMs()), now);
 		for (AccountLevel level : state.accounts()) {
-			UsageCap cap = this.caps.apply(level.account());
+			RateLimit cap = this.caps.apply(level.account());
 			if (cap != null) {
 				AccountPermits account = new AccountPermits(cap, this.bounds, this.emptyNanos);
 				account.restore(level, now);
@@ -224,7 +224,7 @@
 		if (this.phase != Phase.STARTED) {
 			return PermitDecision.NOT_READY;
 		}
-		UsageCap cap = this.caps.apply(request.account());
+		RateLimit cap = this.caps.apply(request.account());
 		if (cap == null) {
 			this.accounts.remove(request.account());
 			return PermitDecision.UNLIMITED;
--- a/core/src/main/java/org/hemlockgw/core/quota/package-info.java
+++ b/core/src/main/java/org/hemlockgw/core/quota/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Decisions about usage caps of client accounts, without I/O.
+ * Decisions about rate limits of client accounts, without I/O.
  */
 @NullMarked
 package org.hemlockgw.core.quota;
--- a/core/src/test/java/org/hemlockgw/core/quota/CapSimulation.java
+++ b/core/src/test/java/org/hemlockgw/core/quota/RateLimitSimulation.java
@@ -9,16 +9,16 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.hemlockgw.core.account.UsageCap;
-import org.hemlockgw.core.account.UsageCapBounds;
+import org.hemlockgw.core.account.RateLimit;
+import org.hemlockgw.core.account.RateLimitBounds;
 
 /**
  * Daemons, a store that assigns one shard to them, and callers of one account, driven by
  * one seed. Times are milliseconds of true time; daemons see only their own clocks.
  */
-final class CapSimulation {
+final class RateLimitSimulation {
 
-	static final UsageCapBounds BOUNDS = new UsageCapBounds(Duration.ofSeconds(5), 0.1, 20);
+	static final RateLimitBounds BOUNDS = new RateLimitBounds(Duration.ofSeconds(5), 0.1, 20);
 
 	private static final String ACCOUNT = "acme";
 
@@ -63,7 +63,7 @@
 
 	private double peakUse;
 
-	CapSimulation(long seed, int daemonCount, UsageCap cap) {
+	RateLimitSimulation(long seed, int daemonCount, RateLimit cap) {
 		this.random = new Random(seed);
 		this.faultIntervalMs = 1500 << this.random.nextInt(4);
 		this.returnedFraction = this.random.nextInt(3) / 4.0;
@@ -162,15 +162,15 @@
 	}
 
 	private void changeCap() {
-		UsageCap cap = (this.random.nextInt(5) == 0) ? null
-				: new UsageCap(1 + this.random.nextInt(20), this.random.nextInt(30));
+		RateLimit cap = (this.random.nextInt(5) == 0) ? null
+				: new RateLimit(1 + this.random.nextInt(20), this.random.nextInt(30));
 		if (cap == null) {
-			after(5000, () -> setCap(new UsageCap(5, 10)));
+			after(5000, () -> setCap(new RateLimit(5, 10)));
 		}
 		setCap(cap);
 	}
 
-	private void setCap(@Nullable UsageCap cap) {
+	private void setCap(@Nullable RateLimit cap) {
 		for (Daemon daemon : this.daemons) {
 			after(this.random.nextInt(2000), () -> {
 				this.capPeriods.add(new CapPeriod(daemon.capSinceMs, this.nowMs, daemon.cap));
@@ -345,7 +345,7 @@
 	private record Run(long sentMs, long ranMs) {
 	}
 
-	private record CapPeriod(long fromMs, long toMs, @Nullable UsageCap cap) {
+	private record CapPeriod(long fromMs, long toMs, @Nullable RateLimit cap) {
 	}
 
 	/**
@@ -355,7 +355,7 @@
 
 		private final int index;
 
-		private @Nullable UsageCap cap;
+		private @Nullable RateLimit cap;
 
 		private long capSinceMs;
 
@@ -381,7 +381,7 @@
 
 		private long previousSinceNanos;
 
-		Daemon(int index, UsageCap cap) {
+		Daemon(int index, RateLimit cap) {
 			this.index = index;
 			this.cap = cap;
 			this.permits = newPermits();
@@ -392,13 +392,13 @@
 		}
 
 		private ClockReading clock() {
-			CapSimulation simulation = CapSimulation.this;
+			RateLimitSimulation simulation = RateLimitSimulation.this;
 			return new ClockReading((simulation.nowMs - this.suspendedMs) * 1_000_000, simulation.nowMs + 1_000_000);
 		}
 
 		private void whenRunning(Runnable action) {
 			ShardPermits process = this.permits;
-			long waitMs = this.runningFromMs - CapSimulation.this.nowMs;
+			long waitMs = this.runningFromMs - RateLimitSimulation.this.nowMs;
 			if (waitMs <= 0) {
 				action.run();
 			}
@@ -412,27 +412,27 @@
 		}
 
 		private void pause(long durationMs, boolean suspended) {
-			if (CapSimulation.this.nowMs >= this.runningFromMs) {
-				this.runningFromMs = CapSimulation.this.nowMs + durationMs;
+			if (RateLimitSimulation.this.nowMs >= this.runningFromMs) {
+				this.runningFromMs = RateLimitSimulation.this.nowMs + durationMs;
 				after(durationMs, () -> this.suspendedMs += suspended ? durationMs : 0);
 			}
 		}
 
 		private void cutFromStore(long durationMs) {
-			this.cutUntilMs = CapSimulation.this.nowMs + durationMs;
+			this.cutUntilMs = RateLimitSimulation.this.nowMs + durationMs;
 		}
 
 		private void restart(long durationMs) {
-			this.runningFromMs = Math.max(this.runningFromMs, CapSimulation.this.nowMs) + durationMs;
+			this.runningFromMs = Math.max(this.runningFromMs, RateLimitSimulation.this.nowMs) + durationMs;
 			this.dead = true;
 			this.knownGeneration = 0;
 			this.previous = -1;
 			this.permits = newPermits();
-			after(this.runningFromMs - CapSimulation.this.nowMs, () -> this.dead = false);
+			after(this.runningFromMs - RateLimitSimulation.this.nowMs, () -> this.dead = false);
 		}
 
 		private void leave() {
-			if (this.member && !CapSimulation.this.storeDown) {
+			if (this.member && !RateLimitSimulation.this.storeDown) {
 				this.permits.lose();
 				removeMember(this);
 			}
@@ -440,18 +440,18 @@
 
 		private void join() {
 			after(350, this::join);
-			if (CapSimulation.this.nowMs < this.runningFromMs) {
+			if (RateLimitSimulation.this.nowMs < this.runningFromMs) {
 				return;
 			}
 			ClockReading sent = clock();
 			ShardPermits process = this.permits;
 			after(delay(), () -> {
-				if (CapSimulation.this.nowMs < this.cutUntilMs || CapSimulation.this.storeDown) {
+				if (RateLimitSimulation.this.nowMs < this.cutUntilMs || RateLimitSimulation.this.storeDown) {
 					return;
 				}
 				storeReceivesJoin(this);
-				long joinedGeneration = CapSimulation.this.generation;
-				int joinedHolder = CapSimulation.this.holder;
+				long joinedGeneration = RateLimitSimulation.this.generation;
+				int joinedHolder = RateLimitSimulation.this.holder;
 				after(delay(), () -> whenRunning(() -> {
 					if (this.permits == process) {
 						apply(joinedGeneration, joinedHolder, sent);
@@ -474,7 +474,7 @@
 			}
 			this.knownGeneration = newGeneration;
 			if (newHolder == this.index && this.permits.confirm(newGeneration, sent) && this.previous >= 0) {
-				askPrevious(newGeneration, CapSimulation.this.daemons.get(this.previous));
+				askPrevious(newGeneration, RateLimitSimulation.this.daemons.get(this.previous));
 			}
 		}
 
@@ -483,7 +483,7 @@
 			after(100, () -> whenRunning(() -> {
 				if (process == this.permits && process.state() == HolderState.WAITING
 						&& process.acquiredGeneration() == acquiredGeneration) {
-					askPrevious(acquiredGeneration, CapSimulation.this.daemons.get(this.previous));
+					askPrevious(acquiredGeneration, RateLimitSimulation.this.daemons.get(this.previous));
 				}
 			}));
 			after(delay(), () -> {
@@ -495,7 +495,7 @@
 					ShardPermitsState state = target.permits.handOver(acquiredGeneration);
 					after(isLost() ? Long.MAX_VALUE / 4 : delay(), () -> whenRunning(() -> {
 						if (state != null && this.permits == process) {
-							CapSimulation.this.handovers++;
+							RateLimitSimulation.this.handovers++;
 							process.previousAnswered(acquiredGeneration, state);
 						}
 					}));
--- a/core/src/test/java/org/hemlockgw/core/quota/ShardPermitsTests.java
+++ b/core/src/test/java/org/hemlockgw/core/quota/ShardPermitsTests.java
@@ -8,7 +8,7 @@
 import net.jqwik.api.constraints.LongRange;
 import net.jqwik.api.statistics.Statistics;
 
-import org.hemlockgw.core.account.UsageCap;
+import org.hemlockgw.core.account.RateLimit;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -24,7 +24,7 @@
 	@Property(tries = 400, seed = "7310584416")
 	void noWindowExceedsCap(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed,
 			@ForAll @IntRange(min = 1, max = 40) int rate, @ForAll @IntRange(min = 0, max = 60) int burst) {
-		CapSimulation simulation = new CapSimulation(seed, 4, new UsageCap(rate, burst));
+		RateLimitSimulation simulation = new RateLimitSimulation(seed, 4, new RateLimit(rate, burst));
 		simulation.startFloods(4 * rate + 2 * burst + 40);
 		simulation.run(60_000);
 		assertWithMessage("seed %s", seed).that(simulation.findViolation()).isNull();
@@ -38,7 +38,7 @@
 	@Property(tries = 300, seed = "7310584418")
 	void noWindowExceedsCapWithSkippedGenerations(@ForAll @LongRange(min = 0, max = Long.MAX_VALUE) long seed,
 			@ForAll @IntRange(min = 1, max = 40) int rate, @ForAll @IntRange(min = 0, max = 60) int burst) {
-		CapSimulation simulation = new CapSimulation(seed, 3, new UsageCap(rate, burst));
+		RateLimitSimulation simulation = new RateLimitSimulation(seed, 3, new RateLimit(rate, burst));
 		simulation.startReassignments();
 		simulation.startFloods(4 * rate + 2 * burst + 40);
 		simulation.run(60_000);
@@ -100,7 +100,8 @@
 	}
 
 	private static ShardPermits permits(long[] nowMs) {
-		return new ShardPermits(() -> reading(nowMs[0]), (account) -> new UsageCap(20, 20), CapSimulation.BOUNDS);
+		return new ShardPermits(() -> reading(nowMs[0]), (account) -> new RateLimit(20, 20),
+				RateLimitSimulation.BOUNDS);
 	}
 
 	private static ClockReading reading(long ms) {
@@ -111,7 +112,7 @@
 	// restarted, so that each join of its holder skips generations.
 	@Example
 	void rollingRestartsOfOthersRefuseNothing() {
-		CapSimulation simulation = new CapSimulation(3, 82, new UsageCap(28, 25));
+		RateLimitSimulation simulation = new RateLimitSimulation(3, 82, new RateLimit(28, 25));
 		simulation.withoutFaults();
 		simulation.run(20_000);
 		simulation.startRollingRestarts();
@@ -125,8 +126,8 @@
 	@Property(tries = 1000, seed = "7310584417")
 	void sharesAddUpToAllowedNumber(@ForAll @DoubleRange(min = 0.01, max = 5000) double rate,
 			@ForAll @DoubleRange(min = 0, max = 5000) double burst) {
-		UsageCap cap = new UsageCap(rate, burst);
-		CapShares shares = CapShares.of(cap, CapSimulation.BOUNDS);
+		RateLimit cap = new RateLimit(rate, burst);
+		RateLimitShares shares = RateLimitShares.of(cap, RateLimitSimulation.BOUNDS);
 		double sum = shares.capacity() + shares.rate() * shares.windowSeconds() + shares.returns() + shares.start()
 				+ shares.unconfirmed();
 		assertThat(sum).isWithin(1e-6).of((rate * 5 + burst) * 1.1 + 20);
@@ -138,8 +139,8 @@
 	@Example
 	void steadyAccountIsRarelyRefusedWhenHolderIsLost() {
 		for (int intervalMs : new int[] { 10, 40, 250 }) {
-			CapSimulation simulation = new CapSimulation(intervalMs, 82,
-					new UsageCap(1000.0 / intervalMs / 0.9, 1000.0 / intervalMs));
+			RateLimitSimulation simulation = new RateLimitSimulation(intervalMs, 82,
+					new RateLimit(1000.0 / intervalMs / 0.9, 1000.0 / intervalMs));
 			simulation.withoutFaults();
 			simulation.run(20_000);
 			simulation.startSteadyCallers(intervalMs);
@@ -156,13 +157,13 @@
 	// shares that are reserved for other failures.
 	@Example
 	void successiveTakeOversShareOneInitialLevel() {
-		UsageCap cap = new UsageCap(20, 20);
-		CapShares shares = CapShares.of(cap, CapSimulation.BOUNDS);
+		RateLimit cap = new RateLimit(20, 20);
+		RateLimitShares shares = RateLimitShares.of(cap, RateLimitSimulation.BOUNDS);
 		long[] nowMs = { 0 };
 		int grants = 0;
 		for (int generation = 1; generation <= 5; generation++) {
 			ShardPermits holder = new ShardPermits(() -> new ClockReading(nowMs[0] * 1_000_000, nowMs[0]),
-					(account) -> cap, CapSimulation.BOUNDS);
+					(account) -> cap, RateLimitSimulation.BOUNDS);
 			assertThat(holder.confirm(generation, new ClockReading(nowMs[0] * 1_000_000, nowMs[0]))).isTrue();
 			holder.previousEnded(generation, generation - 1, nowMs[0] * 1_000_000 - ShardPermits.AUTHORITY_NANOS);
 			for (long endMs = nowMs[0] + 1000; nowMs[0] < endMs; nowMs[0] += 5) {
@@ -179,9 +180,9 @@
 	// long ago would allow as many requests at once.
 	@Example
 	void creditsForReturnsAreLimited() {
-		UsageCap cap = new UsageCap(100, 100);
-		CapShares shares = CapShares.of(cap, CapSimulation.BOUNDS);
-		AccountPermits account = new AccountPermits(cap, CapSimulation.BOUNDS, 0);
+		RateLimit cap = new RateLimit(100, 100);
+		RateLimitShares shares = RateLimitShares.of(cap, RateLimitSimulation.BOUNDS);
+		AccountPermits account = new AccountPermits(cap, RateLimitSimulation.BOUNDS, 0);
 		account.refill(100_000_000_000L, 100);
 		PermitRequest request = new PermitRequest("acme", 0, false);
 		long granted = 0;
@@ -201,8 +202,8 @@
 	// cap, and against an account below its cap whose new programs are refused.
 	@Example
 	void runningProgramsTakePrecedenceOnlyUnderPressure() {
-		UsageCap cap = new UsageCap(10, 10);
-		AccountPermits account = new AccountPermits(cap, CapSimulation.BOUNDS, 0);
+		RateLimit cap = new RateLimit(10, 10);
+		AccountPermits account = new AccountPermits(cap, RateLimitSimulation.BOUNDS, 0);
 		long nanos = 20_000_000_000L;
 		int program = 1;
 		for (; program <= 90; program++, nanos += 112_000_000) {
@@ -225,7 +226,7 @@
 	// one that tells callers to return at once.
 	@Example
 	void deniedProgramIsGrantedAtItsRetryAfter() {
-		AccountPermits account = new AccountPermits(new UsageCap(10, 10), CapSimulation.BOUNDS, 0);
+		AccountPermits account = new AccountPermits(new RateLimit(10, 10), RateLimitSimulation.BOUNDS, 0);
 		long nanos = 20_000_000_000L;
 		account.refill(nanos, 20);
 		PermitDecision refused = PermitDecision.NOT_READY;
@@ -245,7 +246,7 @@
 	// told to return long after the bucket has recovered.
 	@Example
 	void placesOfFloodAreBounded() {
-		AccountPermits account = new AccountPermits(new UsageCap(10, 10), CapSimulation.BOUNDS, 0);
+		AccountPermits account = new AccountPermits(new RateLimit(10, 10), RateLimitSimulation.BOUNDS, 0);
 		PermitDecision last = PermitDecision.NOT_READY;
 		account.refill(20_000_000_000L, 20);
 		for (int i = 1; i < 1000; i++) {
--- a/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/Gateway.java
@@ -172,7 +172,7 @@
 		this.programOwner = new ProgramOwner(this.membership, this.peerLinks);
 		this.slotClient = new SlotClient(loop, this.membership, this.peerLinks, System::nanoTime, metrics);
 		this.permitHolder = new PermitHolder(loop, this.membership, this.peerLinks, this::findRoutes,
-				() -> new ClockReading(System.nanoTime(), clock.millis()), settings.capBounds(), metrics);
+				() -> new ClockReading(System.nanoTime(), clock.millis()), settings.rateLimitBounds(), metrics);
 		this.membership.setAssignmentListener(this.permitHolder);
 		HttpConnections serverConnections = new HttpConnections(loop, CONNECT_TIMEOUT_MS, System::nanoTime);
 		ConfigurationProof proof = new ConfigurationProof(settings.revocationLimit(), System::nanoTime, clock);
--- a/gateway/src/main/java/org/hemlockgw/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/GatewaySettings.java
@@ -5,7 +5,7 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.hemlockgw.core.account.UsageCapBounds;
+import org.hemlockgw.core.account.RateLimitBounds;
 
 /**
  * Settings of a gateway daemon.
@@ -19,12 +19,12 @@
  * @param shutdownGrace time between the stop signal and the end of the process
  * @param revocationLimit time after the acknowledgement of a configuration within which
  * keys that it lacks must stop working at every daemon; null if there is no limit
- * @param capBounds accuracy with which usage caps are enforced
+ * @param rateLimitBounds accuracy with which rate limits are enforced
  * @param memoryBytes memory that the process may use, in bytes
  * @param maxDescriptors number of descriptors that the process may open
  */
 public record GatewaySettings(String name, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress readinessAddress, InetSocketAddress peerAddress, InetSocketAddress metricsAddress,
-		Duration shutdownGrace, @Nullable Duration revocationLimit, UsageCapBounds capBounds, long memoryBytes,
+		Duration shutdownGrace, @Nullable Duration revocationLimit, RateLimitBounds rateLimitBounds, long memoryBytes,
 		int maxDescriptors) {
 }
--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/PermitGate.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/PermitGate.java
@@ -9,7 +9,7 @@
 import org.hemlockgw.gateway.telemetry.Metrics;
 
 /**
- * Delays a request of an account with a usage cap until it has a permit. The permit is
+ * Delays a request of an account with a rate limit until it has a permit. The permit is
  * requested in parallel with the owner of the program and the scheduler.
  */
 final class PermitGate {
@@ -99,13 +99,13 @@
 		}
 		if (decision.status() == PermitDecision.Status.NOT_READY) {
 			this.services.metrics().increment("permits_unavailable");
-			this.listener.refused(503, RETRY_AFTER_MS, "no daemon decides about the usage cap");
+			this.listener.refused(503, RETRY_AFTER_MS, "no daemon decides about the rate limit");
 			return;
 		}
 		String label = this.services.permits().metricLabel(this.request.scope().accountName());
 		this.services.metrics().increment(Metrics.withLabel("cap_refused", "account", label));
 		this.listener.refused(429, decision.retryAfterMs(), (decision.status() == PermitDecision.Status.DENIED)
-				? "usage cap is reached" : "usage cap is reached by running programs");
+				? "rate limit is reached" : "rate limit is reached by running programs");
 	}
 
 	boolean isGranted() {
--- a/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/quota/PermitHolder.java
@@ -12,8 +12,8 @@
 import org.slf4j.LoggerFactory;
 
 import org.hemlockgw.core.account.ClientAccount;
-import org.hemlockgw.core.account.UsageCap;
-import org.hemlockgw.core.account.UsageCapBounds;
+import org.hemlockgw.core.account.RateLimit;
+import org.hemlockgw.core.account.RateLimitBounds;
 import org.hemlockgw.core.quota.ClockReading;
 import org.hemlockgw.core.quota.HolderState;
 import org.hemlockgw.core.quota.PermitDecision;
@@ -61,7 +61,7 @@
 
 	private final Supplier<ClockReading> clock;
 
-	private final UsageCapBounds bounds;
+	private final RateLimitBounds bounds;
 
 	private final Metrics metrics;
 
@@ -79,11 +79,11 @@
 	 * @param peerLinks connections to other daemons
 	 * @param routes current routing table; null before a configuration is received
 	 * @param clock reads both clocks
-	 * @param bounds accuracy of usage caps
+	 * @param bounds accuracy of rate limits
 	 * @param metrics metrics of this daemon
 	 */
 	public PermitHolder(EventLoop loop, Membership membership, PeerLinks peerLinks,
-			Supplier<@Nullable RoutingTable> routes, Supplier<ClockReading> clock, UsageCapBounds bounds,
+			Supplier<@Nullable RoutingTable> routes, Supplier<ClockReading> clock, RateLimitBounds bounds,
 			Metrics metrics) {
 		this.loop = loop;
 		this.membership = membership;
@@ -118,7 +118,7 @@
 		this.shards.values().forEach(ShardPermits::lose);
 	}
 
-	private @Nullable UsageCap findCap(String account) {
+	private @Nullable RateLimit findCap(String account) {
 		RoutingTable table = this.routes.get();
 		if (table == null || table.accounts() == null) {
 			return null;
--- a/gateway/src/main/java/org/hemlockgw/gateway/quota/package-info.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/quota/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Usage caps of client accounts: holders of accounts and requests for permits.
+ * Rate limits of client accounts: holders of accounts and requests for permits.
  */
 @NullMarked
 package org.hemlockgw.gateway.quota;
