Discard losses of recent content whose last report the store shows first

The log shows that the daemon that had passed on a response read the third report from the store 0 ms before the message about it arrived, and so took the message for a repetition and didn't discard the reports. Change: the message is checked against the recent contents also if its report is known. Measured: CrashingRequestsTests, new, 1 of 2 red before and both green after; CrashingRequestTests 17 of 17 green, one run.

--- a/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
+++ b/gateway/src/main/java/org/hemlockgw/gateway/entry/CrashingRequests.java
@@ -154,15 +154,15 @@
 			.addKeyValue(LogFields.DIGEST, report.digest())
 			.addKeyValue(LogFields.SERVER, report.engine())
 			.log("server was lost while it ran a request");
-		if (!this.crashHistory.recordCrash(report, this.clock.instant())) {
-			return;
-		}
+		boolean added = this.crashHistory.recordCrash(report, this.clock.instant());
 		List<CrashReport> reports = this.crashHistory.reports(report.digest());
+		// The store may show a report before the message about it arrives. Stored reports
+		// have no hash, so that only the message tells whether the content is recent.
 		if (reports.size() >= MAX_SERVER_LOSSES && this.recentContents.contains(hash)) {
 			discardEverywhere(report.digest());
 			return;
 		}
-		if (reports.size() >= MIN_STORED_LOSSES) {
+		if (added && reports.size() >= MIN_STORED_LOSSES) {
 			this.writer.write(reports, writeDelayMs);
 		}
 	}
