--- a/core/src/test/java/org/hemlockgw/core/pool/LoadModel.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/LoadModel.java
@@ -34,7 +34,7 @@
 
 	private static final int TOOL_SLOTS = 6;
 
-	private final PriorityQueue<Event> events = new PriorityQueue<>();
+	private final PriorityQueue<ScheduledAction> events = new PriorityQueue<>();
 
 	private long nowMs;
 
@@ -99,9 +99,9 @@
 			schedule(tick, this.tools.scheduler::expireOverdue);
 		}
 		while (!this.events.isEmpty()) {
-			Event next = this.events.remove();
-			this.nowMs = next.atMs;
-			next.action.run();
+			ScheduledAction next = this.events.remove();
+			this.nowMs = next.atMs();
+			next.action().run();
 		}
 	}
 
@@ -137,17 +137,7 @@
 	}
 
 	private void schedule(long atMs, Runnable action) {
-		this.events.add(new Event(atMs, ++this.sequence, action));
-	}
-
-	private record Event(long atMs, long sequence, Runnable action) implements Comparable<Event> {
-
-		@Override
-		public int compareTo(Event other) {
-			int order = Long.compare(this.atMs, other.atMs);
-			return (order != 0) ? order : Long.compare(this.sequence, other.sequence);
-		}
-
+		this.events.add(new ScheduledAction(atMs, ++this.sequence, action));
 	}
 
 	private final class Pool {
--- a/core/src/test/java/org/hemlockgw/core/pool/OverloadTests.java
+++ b/core/src/test/java/org/hemlockgw/core/pool/OverloadTests.java
@@ -49,7 +49,7 @@
 	/** Time after the flood in which the programs that it left behind are completed. */
 	private static final int RECOVERY_MS = 3000;
 
-	private final PriorityQueue<Event> events = new PriorityQueue<>();
+	private final PriorityQueue<ScheduledAction> events = new PriorityQueue<>();
 
 	private long nowMs;
 
@@ -85,7 +85,7 @@
 			schedule(tick, this.scheduler::expireOverdue);
 		}
 		while (!this.events.isEmpty()) {
-			Event next = this.events.remove();
+			ScheduledAction next = this.events.remove();
 			this.nowMs = next.atMs();
 			next.action().run();
 		}
@@ -101,17 +101,7 @@
 	}
 
 	private void schedule(long atMs, Runnable action) {
-		this.events.add(new Event(atMs, ++this.sequence, action));
-	}
-
-	private record Event(long atMs, long sequence, Runnable action) implements Comparable<Event> {
-
-		@Override
-		public int compareTo(Event other) {
-			int order = Long.compare(this.atMs, other.atMs);
-			return (order != 0) ? order : Long.compare(this.sequence, other.sequence);
-		}
-
+		this.events.add(new ScheduledAction(atMs, ++this.sequence, action));
 	}
 
 	/**
