--- a/review/standins-2/src/Engine.java
+++ b/review/standins-2/src/Engine.java
@@ -16,6 +16,8 @@
 
 	static final int EVENTS = 4;
 
+	private static final long HEARTBEAT_MS = 1200;
+
 	private static final String EVENT_TEXT = "x".repeat(120);
 
 	private final HttpServer server;
@@ -42,6 +44,14 @@
 		this.server = new HttpServer(this::handle);
 	}
 
+	String id() {
+		return this.id;
+	}
+
+	String address() {
+		return this.server.address();
+	}
+
 	void register(LogStore store) {
 		store.put("keyed.servers", this.id,
 				"{\"service\":\"" + this.service + "\",\"address\":\"" + this.server.address()
@@ -49,6 +59,16 @@
 						+ ",\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1}");
 	}
 
+	/** Writes the entry again at the interval of the pages. */
+	void keepRegistered(LogStore store) {
+		HttpServer.start("heartbeat", () -> {
+			while (true) {
+				LogStore.pause(HEARTBEAT_MS);
+				register(store);
+			}
+		});
+	}
+
 	void setEventPause(long ms) {
 		this.eventPauseMs = ms;
 	}
