--- a/review/standins-2/src/ReviewCase.java
+++ b/review/standins-2/src/ReviewCase.java
@@ -22,7 +22,7 @@
 
 	private final Map<String, Integer> counts = new TreeMap<>();
 
-	final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+	final boolean trouble = !"false".equals(System.getProperty("trouble"));
 
 	CaseRecord record;
 
